Forward packets of flows on the users' platform

Cause: the product served only its own Thrift interface; the users' routers hand instances raw packets of flows and keep the configuration and the registrations of upstreams in their store.

Change: flow steering, upstream registry, route table and store sync in src/ as code without I/O; the forwarder runs them on the event loop; platform/ translates packets, store calls and entries. deploy/ holds the deploy file and a settings template, so the process keeps its own settings format. The reader of settings is shared; StoreClient uses the project's HTTP client and curl is gone; UdpEndpoint takes the size of its datagrams.

--- a/bench/loopback.cpp
+++ b/bench/loopback.cpp
@@ -118,7 +118,7 @@
 
   EventLoop &Loop;
   Endpoint To;
-  UdpEndpoint Socket;
+  UdpEndpoint Socket{MaxDatagramBytes};
   SteadyClock Time;
   const std::string Payload = std::string(PayloadBytes, 'x');
   std::deque<Sent> Open;
--- a/bench/test_bed.h
+++ b/bench/test_bed.h
@@ -42,7 +42,7 @@
 private:
   void answer(Endpoint From, std::string_view Bytes);
 
-  UdpEndpoint Socket;
+  UdpEndpoint Socket{MaxDatagramBytes};
 };
 
 /// Passes datagrams of one caller to one upstream and back, unread. It uses
@@ -56,7 +56,7 @@
 private:
   void forward(Endpoint From, std::string_view Bytes);
 
-  UdpEndpoint Socket;
+  UdpEndpoint Socket{MaxDatagramBytes};
   Endpoint Upstream;
   Endpoint Caller;
 };
--- /dev/null
+++ b/src/flow_steering.cpp
@@ -0,0 +1,238 @@
+#include "flow_steering.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+#include "placement.h"
+
+namespace indigopoint {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> ActionNames = {"forward", "reset",
+                                                         "drop"};
+constexpr std::array<std::string_view, SteeringReasons> ReasonNames = {
+    "new-flow",    "repeated-opening", "moved-opening", "known-flow",
+    "tagged-flow", "no-configuration", "no-route",      "route-removed",
+    "no-upstream", "unknown-tag",      "foreign-tag",   "address-reused"};
+
+// Sequence numbers wrap around.
+bool isAfter(uint32_t A, uint32_t B) { return static_cast<int32_t>(A - B) > 0; }
+
+} // namespace
+
+std::string_view nameOf(SteeringAction Value) {
+  return ActionNames.at(static_cast<size_t>(Value));
+}
+
+std::string_view nameOf(SteeringReason Value) {
+  return ReasonNames.at(static_cast<size_t>(Value));
+}
+
+SteeringDecision FlowSteering::steer(const PacketHeader &Packet) {
+  const TimePoint Now = Time.now();
+  Flows.expireOpenings(Now, [&](const FlowAddress &, SteeredFlow &Flow) {
+    if (Upstream *Silent = Upstreams.find(Flow.Upstream))
+      Silent->Reach.noteSilence(Now);
+  });
+  // Without a configuration nothing is known of any flow, so open flows must
+  // not be reset.
+  if (!Routes.isLoaded())
+    return {SteeringAction::Drop, SteeringReason::NoConfiguration, nullptr};
+  SteeredFlow *Flow = Flows.find(Packet.Flow);
+  return Packet.Opens ? steerOpening(Packet, Flow) : steerLater(Packet, Flow);
+}
+
+SteeringDecision FlowSteering::steerOpening(const PacketHeader &Packet,
+                                            SteeredFlow *Flow) {
+  const bool IsCopy = Packet.Acknowledged != 0;
+  const Route *Via = Routes.find(Packet.Flow.Service);
+  if (Via == nullptr)
+    return {SteeringAction::Reset, SteeringReason::NoRoute, nullptr};
+  if (Flow != nullptr && Flow->InitialSequence != Packet.Sequence) {
+    release(*Flow);
+    Flows.erase(Packet.Flow);
+    Flow = nullptr;
+  }
+  if (Flow == nullptr)
+    return openFlow(Packet, *Via, nullptr, {});
+  Upstream *Current = Upstreams.find(Flow->Upstream);
+  Flow->LastSeen = Time.now();
+  if (Flow->State != SteeredFlow::Phase::Opening || !IsCopy)
+    return Current != nullptr
+               ? forward(SteeringReason::RepeatedOpening, *Current)
+               : openFlow(Packet, *Via, Flow, {});
+  // If the upstream answered others since, this flow lost a packet. Another
+  // upstream could answer as well, and the client would then repeat the tag
+  // of whichever answer came last.
+  if (Current != nullptr && takesNewFlows(*Current) &&
+      Current->Reach.lastAnswer() > Flow->OpenedAt)
+    return forward(SteeringReason::RepeatedOpening, *Current);
+  return openFlow(Packet, *Via, Flow, Flow->Upstream);
+}
+
+SteeringDecision FlowSteering::openFlow(const PacketHeader &Packet,
+                                        const Route &Via, SteeredFlow *Flow,
+                                        UpstreamId Avoided) {
+  const TimePoint Now = Time.now();
+  const RouteShare *Share = RouteTable::chooseShare(Via, Packet.Flow);
+  Upstream *To =
+      Share == nullptr ? nullptr : choose(Share->Service, Packet.Flow, Avoided);
+  if (To == nullptr) {
+    // A copy may follow one that another instance sent on, so its flow could
+    // be open; only a first opening packet is refused.
+    const bool MayRefuse = Flow == nullptr && Packet.Acknowledged == 0;
+    return {MayRefuse ? SteeringAction::Reset : SteeringAction::Drop,
+            SteeringReason::NoUpstream, nullptr};
+  }
+  const bool Moved = Flow != nullptr && Avoided != UpstreamId();
+  if (Flow == nullptr)
+    Flow = Flows.add(Packet.Flow);
+  if (Flow != nullptr) {
+    assign(*Flow, To->Registration.Id);
+    Flow->InitialSequence = Packet.Sequence;
+    Flow->SentEnd = Packet.Sequence + 1;
+    Flow->OpenedAt = Flow->LastSeen = Now;
+    Flows.expectOpening(Packet.Flow, Now + OpenTimeout);
+    To->Reach.noteTrial(Now);
+  }
+  return forward(Moved ? SteeringReason::MovedOpening : SteeringReason::NewFlow,
+                 *To);
+}
+
+bool FlowSteering::takesNewFlows(const Upstream &Given) {
+  return Given.State == UpstreamState::Ready && Upstreams.ownsTag(Given);
+}
+
+Upstream *FlowSteering::choose(const std::string &Service,
+                               const FlowAddress &Flow, UpstreamId Avoided) {
+  const TimePoint Now = Time.now();
+  Upstream *Best = nullptr;
+  std::tuple<bool, bool, bool, double, uint64_t> BestScore;
+  for (Upstream *Each : Upstreams.ofService(Service)) {
+    if (!takesNewFlows(*Each))
+      continue;
+    const UpstreamRegistration &Said = Each->Registration;
+    // A starting upstream gets half of the flows of a warm one.
+    const double Weight = Said.Slots * (Each->WarmUntil > Now ? 0.5 : 1.0);
+    const std::tuple Score(Said.Id == Avoided, Each->Reach.isSuspect(Now),
+                           Said.Zone != Given.Zone,
+                           (Each->OpenFlows + 1) / Weight,
+                           rendezvousScore(hashOf(Flow), Said.Id.value()));
+    if (Best == nullptr || Score < BestScore) {
+      Best = Each;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+SteeringDecision FlowSteering::steerLater(const PacketHeader &Packet,
+                                          SteeredFlow *Flow) {
+  if (Routes.find(Packet.Flow.Service) == nullptr) {
+    // An instance that does not know the flow cannot tell a route that was
+    // removed from one that it has not heard of yet.
+    if (Flow == nullptr)
+      return {SteeringAction::Drop, SteeringReason::NoRoute, nullptr};
+    release(*Flow);
+    Flows.erase(Packet.Flow);
+    return {SteeringAction::Reset, SteeringReason::RouteRemoved, nullptr};
+  }
+  if (Flow == nullptr)
+    return followTag(Packet);
+  if (Flow->State == SteeredFlow::Phase::Opening) {
+    // The first packet after the opening carries the tag of the upstream whose
+    // answer the client took. It differs if a copy went another way.
+    Upstream *Answered = Upstreams.findByTag(Packet.Tag);
+    if (Answered != nullptr &&
+        Routes.mayServe(Packet.Flow.Service, Answered->Registration.Service))
+      assign(*Flow, Answered->Registration.Id);
+  }
+  Upstream *To = Upstreams.find(Flow->Upstream);
+  if (To == nullptr)
+    return {SteeringAction::Drop, SteeringReason::UnknownTag, nullptr};
+  noteProgress(Packet, *Flow, *To);
+  return forward(SteeringReason::KnownFlow, *To);
+}
+
+SteeringDecision FlowSteering::followTag(const PacketHeader &Packet) {
+  Upstream *To = Upstreams.findByTag(Packet.Tag);
+  if (To == nullptr)
+    return {SteeringAction::Drop, SteeringReason::UnknownTag, nullptr};
+  // A client may write any tag, so it never leads beyond the route.
+  if (!Routes.mayServe(Packet.Flow.Service, To->Registration.Service))
+    return {SteeringAction::Drop, SteeringReason::ForeignTag, nullptr};
+  if (SteeredFlow *Flow = Flows.add(Packet.Flow)) {
+    assign(*Flow, To->Registration.Id);
+    Flow->State = SteeredFlow::Phase::Open;
+    Flow->Acknowledged = Packet.Acknowledged;
+    Flow->SentEnd = Packet.Sequence + Packet.DataBytes;
+    Flow->OpenedAt = Flow->LastSeen = Time.now();
+    if (Packet.Finishes || Packet.Resets)
+      setPhase(*Flow, SteeredFlow::Phase::Closing);
+  }
+  return forward(SteeringReason::TaggedFlow, *To);
+}
+
+void FlowSteering::noteProgress(const PacketHeader &Packet, SteeredFlow &Flow,
+                                Upstream &To) {
+  const TimePoint Now = Time.now();
+  Flow.LastSeen = Now;
+  const bool Opened = Flow.State == SteeredFlow::Phase::Opening;
+  if (Opened)
+    setPhase(Flow, SteeredFlow::Phase::Open);
+  if (Opened || isAfter(Packet.Acknowledged, Flow.Acknowledged)) {
+    Flow.Acknowledged = Packet.Acknowledged;
+    To.Reach.noteAnswer(Now);
+  }
+  const uint32_t End = Packet.Sequence + Packet.DataBytes;
+  if (isAfter(End, Flow.SentEnd))
+    Flow.SentEnd = End;
+  if (Packet.Finishes || Packet.Resets)
+    setPhase(Flow, SteeredFlow::Phase::Closing);
+}
+
+SteeringDecision FlowSteering::forward(SteeringReason Reason,
+                                       Upstream &To) const {
+  if (Upstreams.isAddressReused(To))
+    return {SteeringAction::Drop, SteeringReason::AddressReused, nullptr};
+  return {SteeringAction::Forward, Reason, &To};
+}
+
+// Only flows that are not closing count as load of their upstream.
+void FlowSteering::setPhase(SteeredFlow &Flow, SteeredFlow::Phase Next) {
+  if (Flow.State == Next)
+    return;
+  if (Next == SteeredFlow::Phase::Closing)
+    release(Flow);
+  Flow.State = Next;
+}
+
+void FlowSteering::release(SteeredFlow &Flow) {
+  if (Flow.State == SteeredFlow::Phase::Closing)
+    return;
+  if (Upstream *Old = Upstreams.find(Flow.Upstream); Old && Old->OpenFlows > 0)
+    --Old->OpenFlows;
+}
+
+void FlowSteering::assign(SteeredFlow &Flow, UpstreamId To) {
+  if (Flow.Upstream == To)
+    return;
+  release(Flow);
+  Flow.Upstream = To;
+  if (Upstream *New = Upstreams.find(To))
+    ++New->OpenFlows;
+}
+
+void FlowSteering::sweep() {
+  const TimePoint Now = Time.now();
+  Flows.sweep(
+      Now, Routes.idleTimeout(),
+      [this](const FlowAddress &, SteeredFlow &Flow) { release(Flow); });
+  // Longer than any flow lives.
+  constexpr Duration FlowLifetime = std::chrono::minutes(2);
+  Upstreams.expire(Now, FlowLifetime);
+}
+
+} // namespace indigopoint
--- /dev/null
+++ b/src/forwarder.cpp
@@ -0,0 +1,288 @@
+#include "forwarder.h"
+
+#include <algorithm>
+#include <random>
+
+#include <unistd.h>
+
+#include "event_loop.h"
+#include "flow_steering.h"
+#include "http_server.h"
+#include "steady_clock.h"
+#include "udp_endpoint.h"
+#include "version.h"
+
+namespace indigopoint {
+
+namespace {
+
+// Flushes the log and looks after what is due.
+constexpr Duration MaintenancePeriod = std::chrono::milliseconds(250);
+constexpr Duration SweepPeriod = std::chrono::seconds(1);
+
+// Routers leave out an instance that has missed two questions, which they ask
+// twice a second.
+constexpr Duration RotationTime = std::chrono::milliseconds(2500);
+
+// Left of the limit of a planned stop when the process ends.
+constexpr Duration StopMargin = std::chrono::milliseconds(500);
+
+uint64_t randomBits() {
+  std::random_device Device;
+  return (uint64_t{Device()} << 32) | Device();
+}
+
+int64_t millisecondsOf(Duration Given) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Given).count();
+}
+
+LogEvent eventOf(const SteeringDecision &Decision) {
+  if (Decision.Action == SteeringAction::Reset)
+    return LogEvent::FlowReset;
+  if (Decision.Action == SteeringAction::Drop)
+    return LogEvent::PacketDropped;
+  if (Decision.Reason == SteeringReason::MovedOpening)
+    return LogEvent::FlowMoved;
+  return Decision.Reason == SteeringReason::TaggedFlow ? LogEvent::FlowAdopted
+                                                       : LogEvent::FlowOpened;
+}
+
+// Packets that only follow an earlier decision are not logged.
+bool isLogged(SteeringReason Reason) {
+  return Reason != SteeringReason::KnownFlow &&
+         Reason != SteeringReason::RepeatedOpening;
+}
+
+} // namespace
+
+struct Forwarder::State {
+  State(EventLoop &Loop, ForwarderSettings Settings, ForwarderProtocol Protocol,
+        StopHook OnStop);
+
+  std::string start();
+  void receive(std::string_view Datagram);
+  void sendReset(const PacketHeader &Packet);
+  void logDecision(const PacketHeader &Packet,
+                   const SteeringDecision &Decision);
+  void callStore();
+  void onResult(const StoreQuery &Query, const HttpResult &Answer);
+  void logStore(uint32_t FailuresBefore, StoreResult::Status Status);
+  void maintain();
+  void stop();
+  bool isReady() const { return !Stopping && Routes.isLoaded(); }
+  EventLog::Fields beliefs() const;
+
+  EventLoop &Loop;
+  ForwarderSettings Settings;
+  ForwarderProtocol Protocol;
+  StopHook OnStop;
+  EventClock Time;
+  RandomSource Random{randomBits()};
+  EventLog Log;
+  RouteTable Routes;
+  UpstreamRegistry Upstreams;
+  FlowSteering Steering;
+  StoreSync Sync;
+  StoreBeliefs Beliefs;
+  UdpEndpoint Data;
+  HttpServer Ready;
+  HttpClient Http;
+  LoopEvent StoreTimer;
+  LoopEvent MaintenanceTimer;
+  LoopEvent StopTimer;
+  TimePoint SweptAt{};
+  bool Stopping = false;
+};
+
+Forwarder::State::State(EventLoop &Loop, ForwarderSettings Settings,
+                        ForwarderProtocol Protocol, StopHook OnStop)
+    : Loop(Loop), Settings(std::move(Settings)), Protocol(std::move(Protocol)),
+      OnStop(std::move(OnStop)), Log({this->Settings.Name}, Time),
+      Steering({this->Settings.Zone}, Time, Routes, Upstreams),
+      Sync({this->Settings.MaxStoreAge}, Time, Random),
+      Beliefs(this->Protocol.DecodeFact, Time, Log, Routes, Upstreams),
+      Data(this->Protocol.MaxPacketBytes), Ready(Loop), Http(Loop) {}
+
+std::string Forwarder::State::start() {
+  Time.refresh();
+  const auto OnReceive = [this](Endpoint, std::string_view Datagram) {
+    receive(Datagram);
+  };
+  if (const auto Error = Data.open(Loop, Settings.DataAddress, OnReceive))
+    return "cannot bind " + toString(Settings.DataAddress) + ": " +
+           Error.message() + "; free this address or change /dataAddress";
+  if (const auto Error = Ready.open(Settings.ReadyAddress))
+    return "cannot listen on " + toString(Settings.ReadyAddress) + ": " +
+           Error.message() + "; free this address or change /readyAddress";
+  Ready.route("GET", Protocol.ReadyPath,
+              [this](const HttpRequest &, const HttpServer::Respond &Answer) {
+                Answer({isReady() ? 200 : 503, "{}"});
+              });
+  Log.write(LogEvent::Started, [this] {
+    return EventLog::Fields{{"version", Version},
+                            {"zone", Settings.Zone},
+                            {"dataAddress", toString(Settings.DataAddress)},
+                            {"store", toString(Settings.Store)},
+                            {"process", getpid()}};
+  });
+  callStore();
+  MaintenanceTimer =
+      LoopEvent::every(Loop, MaintenancePeriod, [this] { maintain(); });
+  return {};
+}
+
+void Forwarder::State::receive(std::string_view Datagram) {
+  Time.refresh();
+  PacketHeader Packet;
+  if (!Protocol.DecodePacket(Datagram, Packet))
+    return;
+  const SteeringDecision Decision = Steering.steer(Packet);
+  if (Decision.Action == SteeringAction::Forward) {
+    Protocol.EncodeForward(Datagram, *Decision.To, Data.nextBuffer());
+    Data.commit(Decision.To->Registration.Address);
+  } else if (Decision.Action == SteeringAction::Reset) {
+    sendReset(Packet);
+  }
+  if (isLogged(Decision.Reason))
+    logDecision(Packet, Decision);
+}
+
+// Clients are reached at the port that this process receives at.
+void Forwarder::State::sendReset(const PacketHeader &Packet) {
+  Protocol.EncodeReset(Packet, Data.nextBuffer());
+  Data.commit({Packet.Flow.Client.Address, Settings.DataAddress.Port});
+}
+
+EventLog::Fields Forwarder::State::beliefs() const {
+  return {{"configuration", Routes.version().value()},
+          {"revision", Sync.revision()},
+          {"storeAgeMs", millisecondsOf(Time.now() - Sync.confirmedAt())}};
+}
+
+void Forwarder::State::logDecision(const PacketHeader &Packet,
+                                   const SteeringDecision &Decision) {
+  Log.write(eventOf(Decision), [&] {
+    EventLog::Fields Line = {{"flow", toString(Packet.Flow)},
+                             {"reason", nameOf(Decision.Reason)}};
+    if (Decision.To != nullptr) {
+      const UpstreamRegistration &Said = Decision.To->Registration;
+      Line["upstream"] = toHex(Said.Id);
+      Line["service"] = Said.Service;
+      Line["zone"] = Said.Zone;
+      Line["openFlows"] = Decision.To->OpenFlows;
+    } else {
+      Line["tag"] = Packet.Tag.value();
+    }
+    Line.update(beliefs());
+    return Line;
+  });
+}
+
+void Forwarder::State::callStore() {
+  Time.refresh();
+  if (const auto Query = Sync.next()) {
+    HttpCall Call = Protocol.EncodeQuery(*Query);
+    Call.To = Settings.Store;
+    Call.Timeout = Query->Timeout;
+    Http.call(Call, [this, Asked = *Query](const HttpResult &Answer) {
+      onResult(Asked, Answer);
+    });
+  }
+}
+
+void Forwarder::State::onResult(const StoreQuery &Query,
+                                const HttpResult &Answer) {
+  Time.refresh();
+  const uint32_t FailuresBefore = Sync.failures();
+  StoreResult Result = Protocol.DecodeResult(Query, Answer);
+  const StoreResult::Status Status = Result.What;
+  const auto Update = Sync.onResult(std::move(Result));
+  logStore(FailuresBefore, Status);
+  if (Update) {
+    if (Update->Complete)
+      Log.write(LogEvent::SnapshotTaken, [&] {
+        return EventLog::Fields{{"items", Update->Items.size()},
+                                {"revision", Sync.revision()}};
+      });
+    Beliefs.apply(*Update);
+  }
+  const Duration Delay = std::max(Duration(), Sync.wakeAt() - Time.now());
+  if (Delay == Duration())
+    callStore();
+  else
+    StoreTimer = LoopEvent::after(Loop, Delay, [this] { callStore(); });
+}
+
+void Forwarder::State::logStore(uint32_t FailuresBefore,
+                                StoreResult::Status Status) {
+  const bool Lost = FailuresBefore == 0 && Sync.failures() == 1;
+  const bool Regained = FailuresBefore > 0 && Sync.failures() == 0;
+  if (Lost || Regained)
+    Log.write(Lost ? LogEvent::StoreLost : LogEvent::StoreRegained, [&] {
+      EventLog::Fields Line = {{"result", nameOf(Status)},
+                               {"failures", FailuresBefore}};
+      Line.update(beliefs());
+      return Line;
+    });
+}
+
+void Forwarder::State::maintain() {
+  Time.refresh();
+  if (Time.now() - SweptAt >= SweepPeriod) {
+    SweptAt = Time.now();
+    Steering.sweep();
+  }
+  writePending(Log, STDOUT_FILENO);
+}
+
+void Forwarder::State::stop() {
+  Time.refresh();
+  if (Stopping)
+    return;
+  Stopping = true;
+  Log.write(LogEvent::Stopping, [this] {
+    return EventLog::Fields{{"flows", Steering.flows()}};
+  });
+  const Duration Wait =
+      std::clamp(Settings.StopLimit - StopMargin, Duration(), RotationTime);
+  StopTimer = LoopEvent::after(Loop, Wait, [this] {
+    Time.refresh();
+    Log.write(LogEvent::Stopped, [this] {
+      return EventLog::Fields{{"flows", Steering.flows()}};
+    });
+    writePending(Log, STDOUT_FILENO);
+    OnStop();
+  });
+}
+
+Forwarder::Forwarder(EventLoop &Loop, ForwarderSettings Settings,
+                     ForwarderProtocol Protocol, StopHook OnStop)
+    : S(std::make_unique<State>(Loop, std::move(Settings), std::move(Protocol),
+                                std::move(OnStop))) {}
+
+Forwarder::~Forwarder() = default;
+
+std::string Forwarder::start() { return S->start(); }
+
+void Forwarder::reload(const ForwarderSettings &Settings) {
+  S->Time.refresh();
+  S->Log.write(LogEvent::SettingsReloaded, [&] {
+    return EventLog::Fields{{"changed", Settings != S->Settings},
+                            {"store", toString(Settings.Store)}};
+  });
+  // The sockets stay bound, and a reset is sent from their port.
+  const Endpoint Bound = S->Settings.DataAddress;
+  S->Settings = Settings;
+  S->Settings.DataAddress = Bound;
+}
+
+void Forwarder::refuseSettings(const std::string &Reason) {
+  S->Time.refresh();
+  S->Log.write(LogEvent::SettingsRefused, [&] {
+    return EventLog::Fields{{"reason", Reason}};
+  });
+}
+
+void Forwarder::stop() { S->stop(); }
+
+} // namespace indigopoint
--- /dev/null
+++ b/src/forwarder_settings.cpp
@@ -0,0 +1,42 @@
+#include "forwarder_settings.h"
+
+namespace indigopoint {
+
+namespace {
+
+// A shorter one would read the store all the time.
+constexpr uint64_t LeastStoreAgeMs = 1500;
+constexpr uint64_t MostStoreAgeMs = 30'000;
+constexpr uint32_t MostStopLimitS = 600;
+
+} // namespace
+
+std::vector<SettingsError> parseForwarderSettings(const std::string &Text,
+                                                  const std::string &File,
+                                                  ForwarderSettings &Out) {
+  ForwarderSettings Read;
+  std::vector<SettingsError> Errors =
+      readSettingsText(Text, File, [&](SettingsReader &Reader) {
+        Reader.text("name", Read.Name, true);
+        Reader.text("zone", Read.Zone, true);
+        Reader.endpoint("dataAddress", Read.DataAddress, true);
+        Reader.endpoint("readyAddress", Read.ReadyAddress, true);
+        Reader.endpoint("metricsAddress", Read.MetricsAddress);
+        Reader.endpoint("store", Read.Store, true);
+        Reader.milliseconds("maxStoreAgeMs", Read.MaxStoreAge, LeastStoreAgeMs,
+                            MostStoreAgeMs);
+        Reader.seconds("stopLimitS", Read.StopLimit, MostStopLimitS);
+      });
+  if (Errors.empty())
+    Out = std::move(Read);
+  return Errors;
+}
+
+std::vector<SettingsError> loadForwarderSettings(const std::string &File,
+                                                 ForwarderSettings &Out) {
+  std::string Text;
+  const std::vector<SettingsError> Errors = readSettingsFile(File, Text);
+  return Errors.empty() ? parseForwarderSettings(Text, File, Out) : Errors;
+}
+
+} // namespace indigopoint
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-// Twice the largest value of the platform's store.
-constexpr ev_ssize_t MaxBodyBytes = ev_ssize_t{2} * 1024 * 1024;
+// Larger answers than any list of keys. They end the call.
+constexpr ev_ssize_t MaxBodyBytes = ev_ssize_t{8} * 1024 * 1024;
 
 evhttp_cmd_type commandOf(const std::string &Method) {
   if (Method == "POST")
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,7 @@
 #include "command_show.h"
 #include "command_status.h"
 #include "command_version.h"
+#include "platform/command_forward.h"
 
 namespace {
 
@@ -19,6 +20,8 @@
 
 constexpr std::array Commands = {
     Command{"serve", "run one instance", indigopoint::runServe},
+    Command{"forward", "run one instance that forwards packets of flows",
+            indigopoint::platform::runForward},
     Command{"check", "check configuration files", indigopoint::runCheck},
     Command{"apply", "put configuration files in force", indigopoint::runApply},
     Command{"show", "show a configuration", indigopoint::runShow},
--- a/src/process_settings.h
+++ b/src/process_settings.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "logging.h"
+#include "settings_reader.h"
 #include "types.h"
 
 namespace indigopoint {
@@ -31,17 +32,6 @@
   std::optional<uint64_t> Seed;
 };
 
-/// One fault of a settings file.
-struct SettingsError {
-  std::string File;
-  /// The JSON pointer of the value.
-  std::string Pointer;
-  std::string Found;
-  std::string Remedy;
-};
-
-std::string toString(const SettingsError &Error);
-
 /// Checks the whole of \p Text, JSON with comments. Returns all errors, and
 /// fills \p Out if there are none. \p File is only named in errors.
 std::vector<SettingsError> parseProcessSettings(const std::string &Text,
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -78,7 +78,7 @@
   EventClock Time;
   RandomSource Random{0};
   Sender Self;
-  UdpEndpoint Socket;
+  UdpEndpoint Socket{MaxDatagramBytes};
   HttpServer Admin;
   PlatformClient Platform;
   std::unique_ptr<DecisionEngine> Engine;
--- /dev/null
+++ b/src/settings_reader.cpp
@@ -0,0 +1,182 @@
+#include "settings_reader.h"
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <numeric>
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+namespace indigopoint {
+
+using Json = nlohmann::json;
+
+namespace {
+
+// The Levenshtein distance.
+size_t editDistance(const std::string &A, const std::string &B) {
+  std::vector<size_t> Row(B.size() + 1);
+  std::iota(Row.begin(), Row.end(), 0);
+  for (size_t I = 1; I <= A.size(); ++I) {
+    size_t Diagonal = Row[0];
+    Row[0] = I;
+    for (size_t J = 1; J <= B.size(); ++J) {
+      const size_t Replaced = Diagonal + (A[I - 1] == B[J - 1] ? 0 : 1);
+      Diagonal = Row[J];
+      Row[J] = std::min({Row[J] + 1, Row[J - 1] + 1, Replaced});
+    }
+  }
+  return Row.back();
+}
+
+} // namespace
+
+std::string toString(const SettingsError &Error) {
+  const std::string Spot = Error.Pointer.empty() ? "/" : Error.Pointer;
+  return Error.File + ": " + Spot + ": found " + Error.Found + "; " +
+         Error.Remedy;
+}
+
+void SettingsReader::fail(const std::string &Key, const std::string &Found,
+                          const std::string &Remedy) {
+  Errors.push_back({File, Pointer + "/" + Key, Found, Remedy});
+}
+
+const Json *SettingsReader::find(const std::string &Key, bool Required) {
+  Known.push_back(Key);
+  const auto It = Object.find(Key);
+  if (It != Object.end())
+    return &*It;
+  if (Required)
+    fail(Key, "nothing", "add this key");
+  return nullptr;
+}
+
+void SettingsReader::text(const std::string &Key, std::string &Out,
+                          bool Required) {
+  const Json *Value = find(Key, Required);
+  if (Value == nullptr)
+    return;
+  if (!Value->is_string() ||
+      (Required && Value->get_ref<const std::string &>().empty()))
+    fail(Key, Value->dump(), "give a text in quotes that is not empty");
+  else
+    Out = Value->get<std::string>();
+}
+
+void SettingsReader::endpoint(const std::string &Key, Endpoint &Out,
+                              bool Required) {
+  if (const Json *Value = find(Key, Required))
+    endpointAt(Key, *Value, Out);
+}
+
+void SettingsReader::endpoints(const std::string &Key,
+                               std::vector<Endpoint> &Out) {
+  const Json *Value = find(Key);
+  if (Value == nullptr)
+    return;
+  if (!Value->is_array()) {
+    fail(Key, Value->dump(), "give a list of addresses");
+    return;
+  }
+  for (size_t Index = 0; Index < Value->size(); ++Index)
+    endpointAt(Key + "/" + std::to_string(Index), (*Value)[Index],
+               Out.emplace_back());
+}
+
+void SettingsReader::milliseconds(const std::string &Key, Duration &Out,
+                                  uint64_t Least, uint64_t Most) {
+  const Json *Value = find(Key);
+  if (Value == nullptr)
+    return;
+  // Writers of JSON may give a whole number a fraction of zero.
+  const double Number = Value->is_number() ? Value->get<double>() : -1;
+  if (Number != std::floor(Number) || Number < static_cast<double>(Least) ||
+      Number > static_cast<double>(Most))
+    fail(Key, Value->dump(),
+         "give a whole number of milliseconds from " + std::to_string(Least) +
+             " to " + std::to_string(Most));
+  else
+    Out = std::chrono::milliseconds(static_cast<int64_t>(Number));
+}
+
+void SettingsReader::seconds(const std::string &Key, Duration &Out,
+                             uint32_t Most) {
+  const Json *Value = find(Key);
+  if (Value == nullptr)
+    return;
+  const double Number = Value->is_number() ? Value->get<double>() : -1;
+  if (!(Number >= 0 && Number <= Most))
+    fail(Key, Value->dump(),
+         "give a number of seconds from 0 to " + std::to_string(Most));
+  else
+    Out = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(Number));
+}
+
+void SettingsReader::number(const std::string &Key,
+                            std::optional<uint64_t> &Out) {
+  const Json *Value = find(Key);
+  if (Value == nullptr)
+    return;
+  if (!Value->is_number_unsigned())
+    fail(Key, Value->dump(), "give a whole number that is not negative");
+  else
+    Out = Value->get<uint64_t>();
+}
+
+void SettingsReader::finish() {
+  for (const auto &[Key, Value] : Object.items())
+    if (std::find(Known.begin(), Known.end(), Key) == Known.end())
+      fail(Key, "an unknown key",
+           "remove it, or use the nearest known key \"" + nearest(Key) + "\"");
+}
+
+void SettingsReader::endpointAt(const std::string &Key, const Json &Value,
+                                Endpoint &Out) {
+  if (!Value.is_string() ||
+      !parseEndpoint(Value.get_ref<const std::string &>(), Out))
+    fail(Key, Value.dump(),
+         "give a numeric address and port such as \"127.0.0.1:7000\"");
+  else if (Out.Address == 0)
+    fail(Key, Value.dump(), "give an address that others can send to");
+}
+
+std::string SettingsReader::nearest(const std::string &Key) const {
+  return *std::min_element(Known.begin(), Known.end(),
+                           [&](const std::string &A, const std::string &B) {
+                             return editDistance(A, Key) < editDistance(B, Key);
+                           });
+}
+
+std::vector<SettingsError>
+readSettingsText(const std::string &Text, const std::string &File,
+                 const std::function<void(SettingsReader &)> &Read) {
+  std::vector<SettingsError> Errors;
+  Json Root;
+  try {
+    Root = Json::parse(Text, nullptr, true, true);
+  } catch (const Json::parse_error &Error) {
+    return {{File, "", Error.what(), "correct the JSON text"}};
+  }
+  if (!Root.is_object())
+    return {{File, "", Root.dump(), "give an object"}};
+  SettingsReader Reader(Root, "", File, Errors);
+  Read(Reader);
+  Reader.finish();
+  return Errors;
+}
+
+std::vector<SettingsError> readSettingsFile(const std::string &File,
+                                            std::string &Text) {
+  std::ifstream Stream(File, std::ios::binary);
+  std::ostringstream Read;
+  Read << Stream.rdbuf();
+  if (!Stream)
+    return {{File, "", "no readable file", "name an existing file"}};
+  Text = Read.str();
+  return {};
+}
+
+} // namespace indigopoint
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -48,6 +48,13 @@
   return Text + std::to_string(E.Port);
 }
 
+std::string toHex(UpstreamId Id) {
+  std::array<char, 16> Digits{};
+  const auto Result = std::to_chars(
+      Digits.data(), Digits.data() + Digits.size(), Id.value(), 16);
+  return {Digits.data(), Result.ptr};
+}
+
 bool parseEndpoint(std::string_view Text, Endpoint &Out) {
   Endpoint Parsed;
   for (int Part = 0; Part < 4; ++Part) {
--- a/src/types.h
+++ b/src/types.h
@@ -58,6 +58,9 @@
 /// The stable id of an upstream, derived from its service and its name.
 UpstreamId upstreamIdOf(std::string_view Service, std::string_view Name);
 
+/// Lower-case hexadecimal digits without leading zeros.
+std::string toHex(UpstreamId Id);
+
 /// How a request ended, as told to the caller.
 enum class Outcome : uint8_t { Answered, RefusedNotRun, Unknown };
 
--- a/src/udp_endpoint.cpp
+++ b/src/udp_endpoint.cpp
@@ -11,7 +11,6 @@
 #include <unistd.h>
 
 #include "event_loop.h"
-#include "wire_codec.h"
 
 namespace indigopoint {
 
@@ -27,9 +26,6 @@
 // Absorbs bursts while the loop is busy. The system may grant less.
 constexpr int SocketBufferBytes = 4 * 1024 * 1024;
 
-// One byte more than allowed tells that a datagram is oversized.
-constexpr size_t ReceiveBytes = MaxDatagramBytes + 1;
-
 sockaddr_in toSocketAddress(Endpoint Address) {
   sockaddr_in Out{};
   Out.sin_family = AF_INET;
@@ -65,7 +61,9 @@
 } // namespace
 
 struct UdpEndpoint::State {
-  State() : Bytes(BatchSize * ReceiveBytes) {
+  // One byte more than allowed tells that a datagram is oversized.
+  explicit State(size_t MaxBytes)
+      : ReceiveBytes(MaxBytes + 1), Bytes(BatchSize * ReceiveBytes) {
     for (size_t Index = 0; Index < BatchSize; ++Index)
       Incoming.Parts[Index] = {Bytes.data() + Index * ReceiveBytes,
                                ReceiveBytes};
@@ -81,6 +79,7 @@
   size_t receiveBatch();
   void flush();
 
+  const size_t ReceiveBytes;
   int Socket = -1;
   Endpoint Bound;
   LoopEvent Readable;
@@ -126,7 +125,7 @@
   Count.Received += Got;
   for (int Index = 0; Index < Got; ++Index) {
     const unsigned Size = Incoming.Headers[Index].msg_len;
-    if (Size > MaxDatagramBytes)
+    if (Size >= ReceiveBytes)
       ++Count.Oversized;
     else
       OnReceive(toEndpoint(Incoming.Addresses[Index]),
@@ -157,7 +156,8 @@
   Queued = 0;
 }
 
-UdpEndpoint::UdpEndpoint() : S(std::make_unique<State>()) {}
+UdpEndpoint::UdpEndpoint(size_t MaxBytes)
+    : S(std::make_unique<State>(MaxBytes)) {}
 UdpEndpoint::~UdpEndpoint() = default;
 
 std::error_code UdpEndpoint::open(EventLoop &Loop, Endpoint Address,
--- a/src/udp_endpoint.h
+++ b/src/udp_endpoint.h
@@ -26,7 +26,8 @@
     uint64_t NotSent = 0;
   };
 
-  UdpEndpoint();
+  /// Receives datagrams of up to \p MaxBytes; larger ones are only counted.
+  explicit UdpEndpoint(size_t MaxBytes);
   ~UdpEndpoint();
 
   /// Binds to \p Address (port 0 lets the system choose) and calls
--- /dev/null
+++ b/src/upstream_registry.cpp
@@ -0,0 +1,151 @@
+#include "upstream_registry.h"
+
+#include <algorithm>
+#include <array>
+
+#include <xxhash.h>
+
+namespace indigopoint {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> StateNames = {"ready", "draining",
+                                                        "unregistered"};
+
+// An upstream that started again under its id holds nothing of before.
+bool isRestart(const UpstreamRegistration &Old,
+               const UpstreamRegistration &New) {
+  return Old.StartedAtMs != New.StartedAtMs || Old.Address != New.Address;
+}
+
+} // namespace
+
+std::string_view nameOf(UpstreamState Value) {
+  return StateNames.at(static_cast<size_t>(Value));
+}
+
+FlowTag Upstream::tag() const {
+  const uint64_t Id = Registration.Id.value();
+  const auto Low = static_cast<uint32_t>(Id);
+  // 0 stands for no tag, so such an id takes a hash instead.
+  return FlowTag(Low != 0 ? Low : XXH32(&Id, sizeof(Id), 0) | 1);
+}
+
+UpstreamRegistry::Change
+UpstreamRegistry::put(const UpstreamRegistration &Given,
+                      uint64_t CreatedRevision, TimePoint Now) {
+  auto [At, Added] = Upstreams.try_emplace(Given.Id);
+  Upstream &Entry = At->second;
+  const UpstreamState Next =
+      Given.Draining ? UpstreamState::Draining : UpstreamState::Ready;
+  Change Result = Change::Updated;
+  if (Added)
+    Result = Change::Added;
+  else if (isRestart(Entry.Registration, Given))
+    Result = Change::Restarted;
+  else if (Next == UpstreamState::Draining && Entry.State != Next)
+    Result = Change::Drained;
+  else if (Entry.State == UpstreamState::Unregistered)
+    Result = Change::Returned;
+  if (!Added)
+    unlink(Entry);
+  if (Result == Change::Restarted)
+    Entry.Reach = {};
+  Entry.Registration = Given;
+  Entry.State = Next;
+  Entry.CreatedRevision = CreatedRevision;
+  Entry.WarmUntil = Now + Given.WarmupLeft;
+  link(Entry);
+  return Result;
+}
+
+UpstreamRegistry::Change UpstreamRegistry::remove(UpstreamId Id,
+                                                  TimePoint Now) {
+  Upstream *Entry = find(Id);
+  if (Entry == nullptr || Entry->State == UpstreamState::Unregistered)
+    return Change::None;
+  Entry->State = UpstreamState::Unregistered;
+  Entry->UnregisteredAt = Now;
+  return Change::Removed;
+}
+
+void UpstreamRegistry::retain(
+    const std::vector<UpstreamId> &Present, TimePoint Now,
+    const std::function<void(UpstreamId)> &OnRemoved) {
+  for (const auto &[Id, Entry] : Upstreams)
+    if (std::find(Present.begin(), Present.end(), Id) == Present.end() &&
+        remove(Id, Now) == Change::Removed)
+      OnRemoved(Id);
+}
+
+void UpstreamRegistry::expire(TimePoint Now, Duration FlowLifetime) {
+  for (auto At = Upstreams.begin(); At != Upstreams.end();) {
+    Upstream &Entry = At->second;
+    const bool Over = Entry.State == UpstreamState::Unregistered &&
+                      Now - Entry.UnregisteredAt > FlowLifetime;
+    if (Over)
+      unlink(Entry);
+    At = Over ? Upstreams.erase(At) : std::next(At);
+  }
+}
+
+Upstream *UpstreamRegistry::find(UpstreamId Id) {
+  const auto Found = Upstreams.find(Id);
+  return Found == Upstreams.end() ? nullptr : &Found->second;
+}
+
+Upstream *UpstreamRegistry::findByTag(FlowTag Tag) {
+  const auto Found = Tags.find(Tag);
+  if (Found == Tags.end())
+    return nullptr;
+  // The order of registration is the same on every instance, so all of them
+  // take the same one.
+  return *std::min_element(Found->second.begin(), Found->second.end(),
+                           [](const Upstream *A, const Upstream *B) {
+                             return A->CreatedRevision < B->CreatedRevision;
+                           });
+}
+
+bool UpstreamRegistry::ownsTag(const Upstream &Given) {
+  return findByTag(Given.tag()) == &Given;
+}
+
+bool UpstreamRegistry::isAddressReused(const Upstream &Given) const {
+  if (Given.State != UpstreamState::Unregistered)
+    return false;
+  return std::any_of(Upstreams.begin(), Upstreams.end(), [&](const auto &Each) {
+    return Each.second.State != UpstreamState::Unregistered &&
+           Each.second.Registration.Address == Given.Registration.Address;
+  });
+}
+
+const std::vector<Upstream *> &
+UpstreamRegistry::ofService(const std::string &Service) const {
+  static const std::vector<Upstream *> None;
+  const auto Found = Services.find(Service);
+  return Found == Services.end() ? None : Found->second;
+}
+
+size_t UpstreamRegistry::count(UpstreamState State) const {
+  return std::count_if(
+      Upstreams.begin(), Upstreams.end(),
+      [State](const auto &Each) { return Each.second.State == State; });
+}
+
+void UpstreamRegistry::link(Upstream &Given) {
+  Tags[Given.tag()].push_back(&Given);
+  Services[Given.Registration.Service].push_back(&Given);
+}
+
+void UpstreamRegistry::unlink(Upstream &Given) {
+  std::vector<Upstream *> &Tagged = Tags[Given.tag()];
+  std::erase(Tagged, &Given);
+  if (Tagged.empty())
+    Tags.erase(Given.tag());
+  std::vector<Upstream *> &Siblings = Services[Given.Registration.Service];
+  std::erase(Siblings, &Given);
+  if (Siblings.empty())
+    Services.erase(Given.Registration.Service);
+}
+
+} // namespace indigopoint
--- /dev/null
+++ b/src/upstream_registry.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "packet.h"
+#include "reachability.h"
+#include "types.h"
+
+namespace indigopoint {
+
+/// What an upstream says of itself in its registration.
+struct UpstreamRegistration {
+  UpstreamId Id;
+  std::string Service;
+  Endpoint Address;
+  std::string Zone;
+  /// Requests it runs at a time.
+  uint32_t Slots = 1;
+  /// It takes no new flows and is about to leave.
+  bool Draining = false;
+  /// How much longer it is slow after its start.
+  Duration WarmupLeft{};
+  /// Start of its process in Unix milliseconds; 0 if it does not say.
+  int64_t StartedAtMs = 0;
+};
+
+enum class UpstreamState : uint8_t {
+  Ready,
+  Draining,
+  /// Its registration is gone or unreadable. Open flows still go there, since
+  /// a registration can lapse while the upstream lives.
+  Unregistered
+};
+
+std::string_view nameOf(UpstreamState Value);
+
+/// One upstream as this instance knows it.
+struct Upstream {
+  UpstreamRegistration Registration;
+  UpstreamState State = UpstreamState::Ready;
+  /// Revision of the store at its first registration.
+  uint64_t CreatedRevision = 0;
+  TimePoint WarmUntil{};
+  TimePoint UnregisteredAt{};
+  /// Written by flow steering: open flows that this instance sent here.
+  uint32_t OpenFlows = 0;
+  /// Written by flow steering.
+  Reachability Reach;
+
+  FlowTag tag() const;
+};
+
+/// The upstreams that registered themselves, by id, service and tag.
+class UpstreamRegistry {
+public:
+  enum class Change : uint8_t {
+    None,
+    Added,
+    Restarted,
+    Updated,
+    Drained,
+    Returned,
+    Removed
+  };
+
+  /// Enters a registration that the store holds since \p CreatedRevision.
+  Change put(const UpstreamRegistration &Given, uint64_t CreatedRevision,
+             TimePoint Now);
+
+  /// The registration is gone, or says nothing that can be used.
+  Change remove(UpstreamId Id, TimePoint Now);
+
+  /// Removes all that are not in \p Present.
+  void retain(const std::vector<UpstreamId> &Present, TimePoint Now,
+              const std::function<void(UpstreamId)> &OnRemoved);
+
+  /// Forgets upstreams that were unregistered for longer than flows live.
+  void expire(TimePoint Now, Duration FlowLifetime);
+
+  Upstream *find(UpstreamId Id);
+
+  /// The upstream that a tag stands for. If several share it, the one that
+  /// registered first; null if there is none.
+  Upstream *findByTag(FlowTag Tag);
+
+  /// Whether its tag leads to it. An upstream whose tag belongs to another
+  /// one takes no new flows.
+  bool ownsTag(const Upstream &Given);
+
+  /// Whether a registered upstream other than \p Given has its address.
+  bool isAddressReused(const Upstream &Given) const;
+
+  /// All upstreams of a service, in any state.
+  const std::vector<Upstream *> &ofService(const std::string &Service) const;
+
+  /// How many upstreams are in a state.
+  size_t count(UpstreamState State) const;
+
+  size_t size() const { return Upstreams.size(); }
+
+private:
+  void link(Upstream &Given);
+  void unlink(Upstream &Given);
+
+  std::map<UpstreamId, Upstream> Upstreams;
+  std::unordered_map<FlowTag, std::vector<Upstream *>> Tags;
+  std::map<std::string, std::vector<Upstream *>> Services;
+};
+
+} // namespace indigopoint
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -141,8 +141,8 @@
   EventLoop Loop;
   HttpServer Platform{Loop};
   HttpServer Health{Loop};
-  UdpEndpoint Upstream;
-  UdpEndpoint Caller;
+  UdpEndpoint Upstream{MaxDatagramBytes};
+  UdpEndpoint Caller{MaxDatagramBytes};
   std::vector<HttpServer::Respond> Parked;
   ProcessSettings Settings;
   Message Got = Ping();
--- a/tests/udp_endpoint_test.cpp
+++ b/tests/udp_endpoint_test.cpp
@@ -21,8 +21,8 @@
 // sent from a reused buffer shows.
 TEST(UdpEndpoint, DatagramsOfManyBatchesArriveUnchanged) {
   EventLoop Loop;
-  UdpEndpoint Sender;
-  UdpEndpoint Receiver;
+  UdpEndpoint Sender{MaxDatagramBytes};
+  UdpEndpoint Receiver{MaxDatagramBytes};
   std::vector<std::string> Got;
   Endpoint From;
   ASSERT_FALSE(Sender.open(Loop, AnyPort, Ignore));
@@ -46,8 +46,8 @@
 
 TEST(UdpEndpoint, AnswersLeaveWithoutAnExplicitFlush) {
   EventLoop Loop;
-  UdpEndpoint Caller;
-  UdpEndpoint Echo;
+  UdpEndpoint Caller{MaxDatagramBytes};
+  UdpEndpoint Echo{MaxDatagramBytes};
   std::string Got;
   ASSERT_FALSE(Caller.open(Loop, AnyPort,
                            [&](Endpoint, std::string_view B) { Got = B; }));
@@ -62,8 +62,8 @@
 
 TEST(UdpEndpoint, OversizedDatagramsAreCountedAndNotDelivered) {
   EventLoop Loop;
-  UdpEndpoint Sender;
-  UdpEndpoint Receiver;
+  UdpEndpoint Sender{MaxDatagramBytes};
+  UdpEndpoint Receiver{MaxDatagramBytes};
   size_t Size = 0;
   ASSERT_FALSE(Sender.open(Loop, AnyPort, Ignore));
   ASSERT_FALSE(Receiver.open(
@@ -79,8 +79,8 @@
 // One datagram that the system refuses must not hold up those after it.
 TEST(UdpEndpoint, ARefusedDatagramIsCountedAndTheNextOneSent) {
   EventLoop Loop;
-  UdpEndpoint Sender;
-  UdpEndpoint Receiver;
+  UdpEndpoint Sender{MaxDatagramBytes};
+  UdpEndpoint Receiver{MaxDatagramBytes};
   std::string Got;
   ASSERT_FALSE(Sender.open(Loop, AnyPort, Ignore));
   ASSERT_FALSE(Receiver.open(Loop, AnyPort,
@@ -94,8 +94,8 @@
 
 TEST(UdpEndpoint, AnAddressInUseIsAnError) {
   EventLoop Loop;
-  UdpEndpoint First;
-  UdpEndpoint Second;
+  UdpEndpoint First{MaxDatagramBytes};
+  UdpEndpoint Second{MaxDatagramBytes};
   ASSERT_FALSE(First.open(Loop, AnyPort, Ignore));
   EXPECT_EQ(Second.open(Loop, First.address(), Ignore),
             std::errc::address_in_use);
