Make a store call whose timer ran early

Cause: libevent counts timers from the start of its turn, so one may run a little before the time that StoreSync named. next() then found nothing due, and nothing asked again: the instance never called the store until its next start.

Change: a call due within 20 ms is made; maintenance asks as well.

--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -228,6 +228,7 @@
 
 void Forwarder::State::maintain() {
   Time.refresh();
+  callStore();
   if (Time.now() - SweptAt >= SweepPeriod) {
     SweptAt = Time.now();
     Steering.sweep();
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -18,6 +18,10 @@
 // little after an answer and brings the rest of the group at once.
 constexpr Duration PauseAfterChange = std::chrono::milliseconds(400);
 
+// Timers of an event loop count from the start of its turn and so may run a
+// little early. A call that is due this soon is made at once.
+constexpr Duration TimerSlack = std::chrono::milliseconds(20);
+
 constexpr Duration FirstRetry = std::chrono::milliseconds(100);
 constexpr Duration LongestRetry = std::chrono::milliseconds(800);
 
@@ -31,7 +35,7 @@
     : Given(Given), Time(Time), Random(Random) {}
 
 std::optional<StoreQuery> StoreSync::next() {
-  if (Calling || Time.now() < NextAt)
+  if (Calling || Time.now() + TimerSlack < NextAt)
     return std::nullopt;
   Calling = true;
   StoreQuery Query;
