Check tags by flow; end a planned stop when routers send elsewhere

Cause 2: a stopping instance reported itself as not ready for 2.5 s.

Change: a tag's low half is a hash of flow and upstream, so a tag that matches was written when the flow was opened; it replaces the list of a route's services. A stop ends once no packet came for 200 ms, after 1.2 s at least and before its limit.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -15,7 +15,7 @@
 constexpr std::array<std::string_view, SteeringReasons> ReasonNames = {
     "new-flow",    "repeated-opening", "moved-opening", "known-flow",
     "tagged-flow", "no-configuration", "no-route",      "route-removed",
-    "no-upstream", "unknown-tag",      "foreign-tag",   "address-reused"};
+    "no-upstream", "unknown-tag",      "address-reused"};
 
 // Sequence numbers wrap around.
 bool isAfter(uint32_t A, uint32_t B) { return static_cast<int32_t>(A - B) > 0; }
@@ -66,7 +66,7 @@
   // If the upstream answered others since, this flow lost a packet. Another
   // upstream could answer as well, and the client would then repeat the tag
   // of whichever answer came last.
-  if (Current != nullptr && takesNewFlows(*Current) &&
+  if (Current != nullptr && takesFlow(*Current, Packet.Flow) &&
       Current->Reach.lastAnswer() > Flow->OpenedAt)
     return forward(SteeringReason::RepeatedOpening, *Current);
   return openFlow(Packet, *Via, Flow, Flow->Upstream);
@@ -101,8 +101,11 @@
                  *To);
 }
 
-bool FlowSteering::takesNewFlows(const Upstream &Given) {
-  return Given.State == UpstreamState::Ready && Upstreams.ownsTag(Given);
+// A flow whose tag would lead to another upstream goes elsewhere.
+bool FlowSteering::takesFlow(const Upstream &Given, const FlowAddress &Flow) {
+  const FlowTag Tag = tagOf(Flow, Given.Registration.Id);
+  return Given.State == UpstreamState::Ready &&
+         Upstreams.findByTag(Flow, Tag) == &Given;
 }
 
 Upstream *FlowSteering::choose(const std::string &Service,
@@ -111,7 +114,7 @@
   Upstream *Best = nullptr;
   std::tuple<bool, bool, bool, double, uint64_t> BestScore;
   for (Upstream *Each : Upstreams.ofService(Service)) {
-    if (!takesNewFlows(*Each))
+    if (!takesFlow(*Each, Flow))
       continue;
     const UpstreamRegistration &Said = Each->Registration;
     // A starting upstream gets half of the flows of a warm one.
@@ -144,9 +147,8 @@
   if (Flow->State == SteeredFlow::Phase::Opening) {
     // The first packet after the opening carries the tag of the upstream whose
     // answer the client took. It differs if a copy went another way.
-    Upstream *Answered = Upstreams.findByTag(Packet.Tag);
-    if (Answered != nullptr &&
-        Routes.mayServe(Packet.Flow.Service, Answered->Registration.Service))
+    Upstream *Answered = Upstreams.findByTag(Packet.Flow, Packet.Tag);
+    if (Answered != nullptr)
       assign(*Flow, Answered->Registration.Id);
   }
   Upstream *To = Upstreams.find(Flow->Upstream);
@@ -157,12 +159,12 @@
 }
 
 SteeringDecision FlowSteering::followTag(const PacketHeader &Packet) {
-  Upstream *To = Upstreams.findByTag(Packet.Tag);
+  // Which services earlier versions allowed is not known after a start. A tag
+  // that matches was written when this flow was opened, so its service was one
+  // of them.
+  Upstream *To = Upstreams.findByTag(Packet.Flow, Packet.Tag);
   if (To == nullptr)
     return {SteeringAction::Drop, SteeringReason::UnknownTag, nullptr};
-  // A client may write any tag, so it never leads beyond the route.
-  if (!Routes.mayServe(Packet.Flow.Service, To->Registration.Service))
-    return {SteeringAction::Drop, SteeringReason::ForeignTag, nullptr};
   if (SteeredFlow *Flow = Flows.add(Packet.Flow)) {
     assign(*Flow, To->Registration.Id);
     Flow->State = SteeredFlow::Phase::Open;
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -35,13 +35,11 @@
   NoUpstream,
   /// The tag stands for no upstream known here.
   UnknownTag,
-  /// The tag stands for an upstream of a service that the route never had.
-  ForeignTag,
   /// The upstream is gone and its address belongs to another one.
   AddressReused
 };
 
-constexpr size_t SteeringReasons = 12;
+constexpr size_t SteeringReasons = 11;
 
 std::string_view nameOf(SteeringAction Value);
 std::string_view nameOf(SteeringReason Value);
@@ -82,7 +80,7 @@
   SteeringDecision forward(SteeringReason Reason, Upstream &To) const;
   Upstream *choose(const std::string &Service, const FlowAddress &Flow,
                    UpstreamId Avoided);
-  bool takesNewFlows(const Upstream &Given);
+  bool takesFlow(const Upstream &Given, const FlowAddress &Flow);
   void noteProgress(const PacketHeader &Packet, SteeredFlow &Flow,
                     Upstream &To);
   void setPhase(SteeredFlow &Flow, SteeredFlow::Phase Next);
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -22,7 +22,12 @@
 
 // Routers leave out an instance that has missed two questions, which they ask
 // twice a second.
-constexpr Duration RotationTime = std::chrono::milliseconds(2500);
+constexpr Duration RotationTime = std::chrono::milliseconds(1200);
+
+// Without packets for this long, routers send elsewhere. They go on sending
+// here when too many instances of a zone are leaving at once.
+constexpr Duration QuietTime = std::chrono::milliseconds(200);
+constexpr Duration QuietCheckPeriod = std::chrono::milliseconds(50);
 
 // Left of the limit of a planned stop when the process ends.
 constexpr Duration StopMargin = std::chrono::milliseconds(500);
@@ -69,6 +74,7 @@
   void logStore(uint32_t FailuresBefore, StoreResult::Status Status);
   void maintain();
   void stop();
+  void finishStop();
   bool isReady() const { return !Stopping && Routes.isLoaded(); }
   EventLog::Fields beliefs() const;
 
@@ -91,6 +97,8 @@
   LoopEvent MaintenanceTimer;
   LoopEvent StopTimer;
   TimePoint SweptAt{};
+  TimePoint LastPacket{};
+  TimePoint StopStarted{};
   bool Stopping = false;
 };
 
@@ -136,10 +144,13 @@
   PacketHeader Packet;
   if (!Protocol.DecodePacket(Datagram, Packet))
     return;
+  LastPacket = Time.now();
   const SteeringDecision Decision = Steering.steer(Packet);
   if (Decision.Action == SteeringAction::Forward) {
-    Protocol.EncodeForward(Datagram, *Decision.To, Data.nextBuffer());
-    Data.commit(Decision.To->Registration.Address);
+    const UpstreamRegistration &To = Decision.To->Registration;
+    Protocol.EncodeForward(Datagram, To.Id, tagOf(Packet.Flow, To.Id),
+                           Data.nextBuffer());
+    Data.commit(To.Address);
   } else if (Decision.Action == SteeringAction::Reset) {
     sendReset(Packet);
   }
@@ -244,16 +255,23 @@
   Log.write(LogEvent::Stopping, [this] {
     return EventLog::Fields{{"flows", Steering.flows()}};
   });
-  const Duration Wait =
-      std::clamp(Settings.StopLimit - StopMargin, Duration(), RotationTime);
-  StopTimer = LoopEvent::after(Loop, Wait, [this] {
-    Time.refresh();
-    Log.write(LogEvent::Stopped, [this] {
-      return EventLog::Fields{{"flows", Steering.flows()}};
-    });
-    writePending(Log, STDOUT_FILENO);
-    OnStop();
+  StopStarted = Time.now();
+  StopTimer =
+      LoopEvent::every(Loop, QuietCheckPeriod, [this] { finishStop(); });
+}
+
+void Forwarder::State::finishStop() {
+  Time.refresh();
+  const Duration Stopped = Time.now() - StopStarted;
+  const bool Quiet =
+      Stopped >= RotationTime && Time.now() - LastPacket >= QuietTime;
+  if (!Quiet && Stopped < Settings.StopLimit - StopMargin)
+    return;
+  Log.write(LogEvent::Stopped, [&] {
+    return EventLog::Fields{{"flows", Steering.flows()}, {"quiet", Quiet}};
   });
+  writePending(Log, STDOUT_FILENO);
+  OnStop();
 }
 
 Forwarder::Forwarder(EventLoop &Loop, ForwarderSettings Settings,
--- a/src/forwarder.h
+++ b/src/forwarder.h
@@ -23,7 +23,7 @@
   std::function<bool(std::string_view Datagram, PacketHeader &Out)>
       DecodePacket;
   /// Makes the datagram that hands a packet to an upstream.
-  std::function<void(std::string_view Packet, const Upstream &To,
+  std::function<void(std::string_view Packet, UpstreamId To, FlowTag Tag,
                      std::string &Out)>
       EncodeForward;
   /// Makes a reset of the packet's flow for its client.
--- a/src/packet.cpp
+++ b/src/packet.cpp
@@ -13,6 +13,25 @@
   return XXH3_64bits(Words.data(), sizeof(Words));
 }
 
+// A client may write any tag it likes. The low half is a check: a tag that no
+// instance wrote for this flow matches an upstream once in 65,536 times.
+FlowTag tagOf(const FlowAddress &Flow, UpstreamId Upstream) {
+  const std::array<uint64_t, 2> Words = {hashOf(Flow), Upstream.value()};
+  const auto Check =
+      static_cast<uint16_t>(XXH3_64bits(Words.data(), sizeof(Words)));
+  const uint32_t Tag = (uint32_t{tagGroupOf(Upstream)} << 16) | Check;
+  return FlowTag(Tag != 0 ? Tag : 1);
+}
+
+uint16_t tagGroupOf(UpstreamId Upstream) {
+  const uint64_t Id = Upstream.value();
+  return static_cast<uint16_t>(XXH3_64bits(&Id, sizeof(Id)));
+}
+
+uint16_t tagGroupOf(FlowTag Tag) {
+  return static_cast<uint16_t>(Tag.value() >> 16);
+}
+
 std::string toString(const FlowAddress &Flow) {
   return toString(Flow.Client) + ">" + toString(Flow.Service);
 }
--- a/src/packet.h
+++ b/src/packet.h
@@ -28,9 +28,17 @@
 
 /// A number that instances write into the packets of a flow. Both ends repeat
 /// the last one they received, so any instance learns the upstream of a flow
-/// from any of its packets. 0 means none.
+/// from any of its packets. 0 means none. The high half depends on the
+/// upstream only, the low half on flow and upstream.
 using FlowTag = TypedId<struct FlowTagTag, uint32_t>;
 
+/// The tag of a flow at an upstream; never 0.
+FlowTag tagOf(const FlowAddress &Flow, UpstreamId Upstream);
+
+/// What all tags of an upstream have in common.
+uint16_t tagGroupOf(UpstreamId Upstream);
+uint16_t tagGroupOf(FlowTag Tag);
+
 /// What steering reads of a packet that a client sent.
 struct PacketHeader {
   FlowAddress Flow;
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -11,17 +11,10 @@
     return Done;
   decltype(Routes) Replaced;
   for (Route &Each : Next.Routes) {
-    const auto Old = Routes.find(Each.Address);
-    Entry New;
-    if (Old != Routes.end())
-      New.Allowed = std::move(Old->second.Allowed);
-    else
+    if (Routes.count(Each.Address) == 0)
       ++Done.Added;
-    for (const RouteShare &Share : Each.Shares)
-      New.Allowed.insert(Share.Service);
     const Endpoint Address = Each.Address;
-    New.Current = std::move(Each);
-    Replaced.insert_or_assign(Address, std::move(New));
+    Replaced.insert_or_assign(Address, std::move(Each));
   }
   Done.Removed = Routes.size() + Done.Added - Replaced.size();
   Done.Applied = true;
@@ -34,7 +27,7 @@
 
 const Route *RouteTable::find(Endpoint Address) const {
   const auto Found = Routes.find(Address);
-  return Found == Routes.end() ? nullptr : &Found->second.Current;
+  return Found == Routes.end() ? nullptr : &Found->second;
 }
 
 const RouteShare *RouteTable::chooseShare(const Route &From,
@@ -55,9 +48,4 @@
   return nullptr;
 }
 
-bool RouteTable::mayServe(Endpoint Address, const std::string &Service) const {
-  const auto Found = Routes.find(Address);
-  return Found != Routes.end() && Found->second.Allowed.count(Service) != 0;
-}
-
 } // namespace indigopoint
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -35,7 +34,7 @@
   Duration IdleTimeout = std::chrono::seconds(15);
 };
 
-/// The routes in force, and what earlier versions allowed. Versions only rise.
+/// The routes in force. Versions only rise.
 class RouteTable {
 public:
   /// What a version changed, for the log.
@@ -63,16 +62,7 @@
   static const RouteShare *chooseShare(const Route &From,
                                        const FlowAddress &Flow);
 
-  /// Whether any version seen so far sent flows of \p Address to \p Service.
-  /// Flows that an earlier version opened stay where they are.
-  bool mayServe(Endpoint Address, const std::string &Service) const;
-
 private:
-  struct Entry {
-    Route Current;
-    /// All services of this and earlier versions.
-    std::set<std::string> Allowed;
-  };
   struct EndpointHash {
     size_t operator()(const Endpoint &E) const {
       return std::hash<uint64_t>{}((uint64_t{E.Address} << 16) | E.Port);
@@ -82,7 +72,7 @@
   bool Loaded = false;
   ConfigVersion Version;
   Duration IdleTimeout = std::chrono::seconds(15);
-  std::unordered_map<Endpoint, Entry, EndpointHash> Routes;
+  std::unordered_map<Endpoint, Route, EndpointHash> Routes;
 };
 
 } // namespace indigopoint
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <array>
 
-#include <xxhash.h>
-
 namespace indigopoint {
 
 namespace {
@@ -24,13 +22,6 @@
   return StateNames.at(static_cast<size_t>(Value));
 }
 
-FlowTag Upstream::tag() const {
-  const uint64_t Id = Registration.Id.value();
-  const auto Low = static_cast<uint32_t>(Id);
-  // 0 stands for no tag, so such an id takes a hash instead.
-  return FlowTag(Low != 0 ? Low : XXH32(&Id, sizeof(Id), 0) | 1);
-}
-
 UpstreamRegistry::Change
 UpstreamRegistry::put(const UpstreamRegistration &Given,
                       uint64_t CreatedRevision, TimePoint Now) {
@@ -94,20 +85,20 @@
   return Found == Upstreams.end() ? nullptr : &Found->second;
 }
 
-Upstream *UpstreamRegistry::findByTag(FlowTag Tag) {
-  const auto Found = Tags.find(Tag);
-  if (Found == Tags.end())
+Upstream *UpstreamRegistry::findByTag(const FlowAddress &Flow, FlowTag Tag) {
+  const auto Group = TagGroups.find(tagGroupOf(Tag));
+  if (Group == TagGroups.end())
     return nullptr;
-  // The order of registration is the same on every instance, so all of them
-  // take the same one.
-  return *std::min_element(Found->second.begin(), Found->second.end(),
-                           [](const Upstream *A, const Upstream *B) {
-                             return A->CreatedRevision < B->CreatedRevision;
-                           });
-}
-
-bool UpstreamRegistry::ownsTag(const Upstream &Given) {
-  return findByTag(Given.tag()) == &Given;
+  Upstream *Found = nullptr;
+  for (Upstream *Each : Group->second) {
+    // The order of registration is the same on every instance, so all of them
+    // take the same one.
+    const bool IsEarlier =
+        Found == nullptr || Each->CreatedRevision < Found->CreatedRevision;
+    if (IsEarlier && tagOf(Flow, Each->Registration.Id) == Tag)
+      Found = Each;
+  }
+  return Found;
 }
 
 bool UpstreamRegistry::isAddressReused(const Upstream &Given) const {
@@ -133,15 +124,16 @@
 }
 
 void UpstreamRegistry::link(Upstream &Given) {
-  Tags[Given.tag()].push_back(&Given);
+  TagGroups[tagGroupOf(Given.Registration.Id)].push_back(&Given);
   Services[Given.Registration.Service].push_back(&Given);
 }
 
 void UpstreamRegistry::unlink(Upstream &Given) {
-  std::vector<Upstream *> &Tagged = Tags[Given.tag()];
+  const uint16_t Group = tagGroupOf(Given.Registration.Id);
+  std::vector<Upstream *> &Tagged = TagGroups[Group];
   std::erase(Tagged, &Given);
   if (Tagged.empty())
-    Tags.erase(Given.tag());
+    TagGroups.erase(Group);
   std::vector<Upstream *> &Siblings = Services[Given.Registration.Service];
   std::erase(Siblings, &Given);
   if (Siblings.empty())
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -50,8 +50,6 @@
   uint32_t OpenFlows = 0;
   /// Written by flow steering.
   Reachability Reach;
-
-  FlowTag tag() const;
 };
 
 /// The upstreams that registered themselves, by id, service and tag.
@@ -83,13 +81,9 @@
 
   Upstream *find(UpstreamId Id);
 
-  /// The upstream that a tag stands for. If several share it, the one that
-  /// registered first; null if there is none.
-  Upstream *findByTag(FlowTag Tag);
-
-  /// Whether its tag leads to it. An upstream whose tag belongs to another
-  /// one takes no new flows.
-  bool ownsTag(const Upstream &Given);
+  /// The upstream that a flow's tag stands for; null if there is none. If the
+  /// tags of several agree, the one that registered first.
+  Upstream *findByTag(const FlowAddress &Flow, FlowTag Tag);
 
   /// Whether a registered upstream other than \p Given has its address.
   bool isAddressReused(const Upstream &Given) const;
@@ -107,7 +101,8 @@
   void unlink(Upstream &Given);
 
   std::map<UpstreamId, Upstream> Upstreams;
-  std::unordered_map<FlowTag, std::vector<Upstream *>> Tags;
+  /// By the part of a tag that depends on the upstream only.
+  std::unordered_map<uint16_t, std::vector<Upstream *>> TagGroups;
   std::map<std::string, std::vector<Upstream *>> Services;
 };
 
