Let instances follow the store through one reader a zone

Ways weighed: each reads (above); readers that push (needs to know who listens); readers that are asked with a bound on age, after which an instance asks the store itself. The last needs no agreement: a wrong choice of reader costs calls, never freshness.

Change: PeerTable (who is there), SyncPlanner (whom to ask next), StoreMirror (what can be told), PeerExchange (HTTP with Thrift bodies). Seeds of the settings are the first contacts; a zone of fewer than six instances reads directly. A start without the store learns from a peer.

--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -1,7 +1,6 @@
 #include "forwarder.h"
 
 #include <algorithm>
-#include <random>
 
 #include <unistd.h>
 
@@ -32,15 +31,6 @@
 // Left of the limit of a planned stop when the process ends.
 constexpr Duration StopMargin = std::chrono::milliseconds(500);
 
-uint64_t randomBits() {
-  std::random_device Device;
-  return (uint64_t{Device()} << 32) | Device();
-}
-
-int64_t millisecondsOf(Duration Given) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Given).count();
-}
-
 LogEvent eventOf(const SteeringDecision &Decision) {
   if (Decision.Action == SteeringAction::Reset)
     return LogEvent::FlowReset;
@@ -69,9 +59,6 @@
   void sendReset(const PacketHeader &Packet);
   void logDecision(const PacketHeader &Packet,
                    const SteeringDecision &Decision);
-  void callStore();
-  void onResult(const StoreQuery &Query, const HttpResult &Answer);
-  void logStore(uint32_t FailuresBefore, StoreResult::Status Status);
   void maintain();
   void stop();
   void finishStop();
@@ -83,17 +70,14 @@
   ForwarderProtocol Protocol;
   StopHook OnStop;
   EventClock Time;
-  RandomSource Random{randomBits()};
   EventLog Log;
   RouteTable Routes;
   UpstreamRegistry Upstreams;
   FlowSteering Steering;
-  StoreSync Sync;
   StoreBeliefs Beliefs;
+  StoreFollower Follower;
   UdpEndpoint Data;
   HttpServer Ready;
-  HttpClient Http;
-  LoopEvent StoreTimer;
   LoopEvent MaintenanceTimer;
   LoopEvent StopTimer;
   TimePoint SweptAt{};
@@ -107,9 +91,11 @@
     : Loop(Loop), Settings(std::move(Settings)), Protocol(std::move(Protocol)),
       OnStop(std::move(OnStop)), Log({this->Settings.Name}, Time),
       Steering({this->Settings.Zone}, Time, Routes, Upstreams),
-      Sync({this->Settings.MaxStoreAge}, Time, Random),
       Beliefs(this->Protocol.DecodeFact, Time, Log, Routes, Upstreams),
-      Data(this->Protocol.MaxPacketBytes), Ready(Loop), Http(Loop) {}
+      Follower(
+          Loop, this->Settings, this->Protocol.Store, Time, Log,
+          [this](const StoreSync::Update &Update) { Beliefs.apply(Update); }),
+      Data(this->Protocol.MaxPacketBytes), Ready(Loop) {}
 
 std::string Forwarder::State::start() {
   Time.refresh();
@@ -131,9 +117,11 @@
                             {"zone", Settings.Zone},
                             {"dataAddress", toString(Settings.DataAddress)},
                             {"store", toString(Settings.Store)},
+                            {"peerAddress", toString(Settings.PeerAddress)},
                             {"process", getpid()}};
   });
-  callStore();
+  if (const std::string Problem = Follower.start(); !Problem.empty())
+    return Problem;
   MaintenanceTimer =
       LoopEvent::every(Loop, MaintenancePeriod, [this] { maintain(); });
   return {};
@@ -165,9 +153,9 @@
 }
 
 EventLog::Fields Forwarder::State::beliefs() const {
-  return {{"configuration", Routes.version().value()},
-          {"revision", Sync.revision()},
-          {"storeAgeMs", millisecondsOf(Time.now() - Sync.confirmedAt())}};
+  EventLog::Fields Out = {{"configuration", Routes.version().value()}};
+  Out.update(Follower.beliefs());
+  return Out;
 }
 
 void Forwarder::State::logDecision(const PacketHeader &Packet,
@@ -189,57 +177,8 @@
   });
 }
 
-void Forwarder::State::callStore() {
-  Time.refresh();
-  if (const auto Query = Sync.next()) {
-    HttpCall Call = Protocol.EncodeQuery(*Query);
-    Call.To = Settings.Store;
-    Call.Timeout = Query->Timeout;
-    Http.call(Call, [this, Asked = *Query](const HttpResult &Answer) {
-      onResult(Asked, Answer);
-    });
-  }
-}
-
-void Forwarder::State::onResult(const StoreQuery &Query,
-                                const HttpResult &Answer) {
-  Time.refresh();
-  const uint32_t FailuresBefore = Sync.failures();
-  StoreResult Result = Protocol.DecodeResult(Query, Answer);
-  const StoreResult::Status Status = Result.What;
-  const auto Update = Sync.onResult(std::move(Result));
-  logStore(FailuresBefore, Status);
-  if (Update) {
-    if (Update->Complete)
-      Log.write(LogEvent::SnapshotTaken, [&] {
-        return EventLog::Fields{{"items", Update->Items.size()},
-                                {"revision", Sync.revision()}};
-      });
-    Beliefs.apply(*Update);
-  }
-  const Duration Delay = std::max(Duration(), Sync.wakeAt() - Time.now());
-  if (Delay == Duration())
-    callStore();
-  else
-    StoreTimer = LoopEvent::after(Loop, Delay, [this] { callStore(); });
-}
-
-void Forwarder::State::logStore(uint32_t FailuresBefore,
-                                StoreResult::Status Status) {
-  const bool Lost = FailuresBefore == 0 && Sync.failures() == 1;
-  const bool Regained = FailuresBefore > 0 && Sync.failures() == 0;
-  if (Lost || Regained)
-    Log.write(Lost ? LogEvent::StoreLost : LogEvent::StoreRegained, [&] {
-      EventLog::Fields Line = {{"result", nameOf(Status)},
-                               {"failures", FailuresBefore}};
-      Line.update(beliefs());
-      return Line;
-    });
-}
-
 void Forwarder::State::maintain() {
   Time.refresh();
-  callStore();
   if (Time.now() - SweptAt >= SweepPeriod) {
     SweptAt = Time.now();
     Steering.sweep();
@@ -292,6 +231,7 @@
   // The sockets stay bound, and a reset is sent from their port.
   const Endpoint Bound = S->Settings.DataAddress;
   S->Settings = Settings;
+  S->Follower.reload(Settings);
   S->Settings.DataAddress = Bound;
 }
 
--- a/src/forwarder.h
+++ b/src/forwarder.h
@@ -6,8 +6,8 @@
 #include <string_view>
 
 #include "forwarder_settings.h"
-#include "http_client.h"
 #include "store_beliefs.h"
+#include "store_follower.h"
 
 namespace indigopoint {
 
@@ -28,9 +28,7 @@
       EncodeForward;
   /// Makes a reset of the packet's flow for its client.
   std::function<void(const PacketHeader &Packet, std::string &Out)> EncodeReset;
-  std::function<HttpCall(const StoreQuery &)> EncodeQuery;
-  std::function<StoreResult(const StoreQuery &, const HttpResult &)>
-      DecodeResult;
+  StoreProtocol Store;
   FactDecoder DecodeFact;
 };
 
--- a/src/forwarder_settings.cpp
+++ b/src/forwarder_settings.cpp
@@ -6,6 +6,7 @@
 
 // A shorter one would read the store all the time.
 constexpr uint64_t LeastStoreAgeMs = 1500;
+constexpr uint64_t LeastBoundMs = 1000;
 constexpr uint64_t MostStoreAgeMs = 30'000;
 constexpr uint32_t MostStopLimitS = 600;
 
@@ -23,8 +24,12 @@
         Reader.endpoint("readyAddress", Read.ReadyAddress, true);
         Reader.endpoint("metricsAddress", Read.MetricsAddress);
         Reader.endpoint("store", Read.Store, true);
+        Reader.endpoint("peerAddress", Read.PeerAddress);
+        Reader.endpoints("seeds", Read.Seeds);
         Reader.milliseconds("maxStoreAgeMs", Read.MaxStoreAge, LeastStoreAgeMs,
                             MostStoreAgeMs);
+        Reader.milliseconds("changeBoundMs", Read.ChangeBound, LeastBoundMs,
+                            MostStoreAgeMs);
         Reader.seconds("stopLimitS", Read.StopLimit, MostStopLimitS);
       });
   if (Errors.empty())
--- a/src/forwarder_settings.h
+++ b/src/forwarder_settings.h
@@ -19,8 +19,15 @@
   /// Where metrics and the state are shown; port 0 for nowhere.
   Endpoint MetricsAddress;
   Endpoint Store;
+  /// Where other instances ask for what this one knows of the store; port 0
+  /// if they cannot.
+  Endpoint PeerAddress;
+  /// Peer addresses of some other instances. They may be out of date.
+  std::vector<Endpoint> Seeds;
   /// How long what is known of the store may go unconfirmed.
   Duration MaxStoreAge = std::chrono::seconds(4);
+  /// How soon a change has to be in force after the store acknowledged it.
+  Duration ChangeBound = std::chrono::seconds(3);
   /// After this time a planned stop is ended from outside.
   Duration StopLimit = std::chrono::seconds(6);
   bool operator==(const ForwarderSettings &) const = default;
--- a/src/gen/protocol_types.cpp
+++ b/src/gen/protocol_types.cpp
@@ -2054,4 +2054,202 @@
   __isset = other183.__isset;
   return *this;
 }
+
+PeerItem::~PeerItem() noexcept {
+}
+
+
+void PeerItem::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void PeerItem::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void PeerItem::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void PeerItem::__set_createdRevision(const int64_t val) {
+  this->createdRevision = val;
+}
+
+void PeerItem::__set_deleted(const bool val) {
+  this->deleted = val;
+}
+
+void swap(PeerItem &a, PeerItem &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.revision, b.revision);
+  swap(a.createdRevision, b.createdRevision);
+  swap(a.deleted, b.deleted);
+  swap(a.__isset, b.__isset);
+}
+
+PeerItem::PeerItem(const PeerItem& other184) {
+  key = other184.key;
+  value = other184.value;
+  revision = other184.revision;
+  createdRevision = other184.createdRevision;
+  deleted = other184.deleted;
+  __isset = other184.__isset;
+}
+PeerItem::PeerItem(PeerItem&& other185) noexcept {
+  key = std::move(other185.key);
+  value = std::move(other185.value);
+  revision = other185.revision;
+  createdRevision = other185.createdRevision;
+  deleted = other185.deleted;
+  __isset = other185.__isset;
+}
+PeerItem& PeerItem::operator=(const PeerItem& other186) {
+  key = other186.key;
+  value = other186.value;
+  revision = other186.revision;
+  createdRevision = other186.createdRevision;
+  deleted = other186.deleted;
+  __isset = other186.__isset;
+  return *this;
+}
+PeerItem& PeerItem::operator=(PeerItem&& other187) noexcept {
+  key = std::move(other187.key);
+  value = std::move(other187.value);
+  revision = other187.revision;
+  createdRevision = other187.createdRevision;
+  deleted = other187.deleted;
+  __isset = other187.__isset;
+  return *this;
+}
+
+PeerEntry::~PeerEntry() noexcept {
+}
+
+
+void PeerEntry::__set_address(const int32_t val) {
+  this->address = val;
+}
+
+void PeerEntry::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void PeerEntry::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void PeerEntry::__set_age(const int64_t val) {
+  this->age = val;
+}
+
+void swap(PeerEntry &a, PeerEntry &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.zone, b.zone);
+  swap(a.age, b.age);
+  swap(a.__isset, b.__isset);
+}
+
+PeerEntry::PeerEntry(const PeerEntry& other188) {
+  address = other188.address;
+  port = other188.port;
+  zone = other188.zone;
+  age = other188.age;
+  __isset = other188.__isset;
+}
+PeerEntry::PeerEntry(PeerEntry&& other189) noexcept {
+  address = other189.address;
+  port = other189.port;
+  zone = std::move(other189.zone);
+  age = other189.age;
+  __isset = other189.__isset;
+}
+PeerEntry& PeerEntry::operator=(const PeerEntry& other190) {
+  address = other190.address;
+  port = other190.port;
+  zone = other190.zone;
+  age = other190.age;
+  __isset = other190.__isset;
+  return *this;
+}
+PeerEntry& PeerEntry::operator=(PeerEntry&& other191) noexcept {
+  address = other191.address;
+  port = other191.port;
+  zone = std::move(other191.zone);
+  age = other191.age;
+  __isset = other191.__isset;
+  return *this;
+}
+
+PeerState::~PeerState() noexcept {
+}
+
+
+void PeerState::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void PeerState::__set_age(const int64_t val) {
+  this->age = val;
+}
+
+void PeerState::__set_complete(const bool val) {
+  this->complete = val;
+}
+
+void PeerState::__set_items(const std::vector<PeerItem> & val) {
+  this->items = val;
+}
+
+void PeerState::__set_peers(const std::vector<PeerEntry> & val) {
+  this->peers = val;
+}
+
+void swap(PeerState &a, PeerState &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.age, b.age);
+  swap(a.complete, b.complete);
+  swap(a.items, b.items);
+  swap(a.peers, b.peers);
+  swap(a.__isset, b.__isset);
+}
+
+PeerState::PeerState(const PeerState& other204) {
+  revision = other204.revision;
+  age = other204.age;
+  complete = other204.complete;
+  items = other204.items;
+  peers = other204.peers;
+  __isset = other204.__isset;
+}
+PeerState::PeerState(PeerState&& other205) noexcept {
+  revision = other205.revision;
+  age = other205.age;
+  complete = other205.complete;
+  items = std::move(other205.items);
+  peers = std::move(other205.peers);
+  __isset = other205.__isset;
+}
+PeerState& PeerState::operator=(const PeerState& other206) {
+  revision = other206.revision;
+  age = other206.age;
+  complete = other206.complete;
+  items = other206.items;
+  peers = other206.peers;
+  __isset = other206.__isset;
+  return *this;
+}
+PeerState& PeerState::operator=(PeerState&& other207) noexcept {
+  revision = other207.revision;
+  age = other207.age;
+  complete = other207.complete;
+  items = std::move(other207.items);
+  peers = std::move(other207.peers);
+  __isset = other207.__isset;
+  return *this;
+}
 }} // namespace
--- a/src/gen/protocol_types.h
+++ b/src/gen/protocol_types.h
@@ -201,6 +201,12 @@
 
 class ConfigChunk;
 
+class PeerItem;
+
+class PeerEntry;
+
+class PeerState;
+
 typedef struct _Header__isset {
   _Header__isset() : instance(false), boot(false) {}
   bool instance :1;
@@ -2276,6 +2282,219 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigChunk& obj);
 
+typedef struct _PeerItem__isset {
+  _PeerItem__isset() : key(false), value(false), revision(false), createdRevision(false), deleted(false) {}
+  bool key :1;
+  bool value :1;
+  bool revision :1;
+  bool createdRevision :1;
+  bool deleted :1;
+} _PeerItem__isset;
+
+class PeerItem {
+ public:
+
+  PeerItem(const PeerItem&);
+  PeerItem(PeerItem&&) noexcept;
+  PeerItem& operator=(const PeerItem&);
+  PeerItem& operator=(PeerItem&&) noexcept;
+  PeerItem() noexcept
+           : key(),
+             value(),
+             revision(0),
+             createdRevision(0),
+             deleted(0) {
+  }
+
+  virtual ~PeerItem() noexcept;
+  std::string key;
+  std::string value;
+  int64_t revision;
+  int64_t createdRevision;
+  bool deleted;
+
+  _PeerItem__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_createdRevision(const int64_t val);
+
+  void __set_deleted(const bool val);
+
+  bool operator == (const PeerItem & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(createdRevision == rhs.createdRevision))
+      return false;
+    if (!(deleted == rhs.deleted))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerItem &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerItem & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+};
+
+void swap(PeerItem &a, PeerItem &b);
+
+std::ostream& operator<<(std::ostream& out, const PeerItem& obj);
+
+typedef struct _PeerEntry__isset {
+  _PeerEntry__isset() : address(false), port(false), zone(false), age(false) {}
+  bool address :1;
+  bool port :1;
+  bool zone :1;
+  bool age :1;
+} _PeerEntry__isset;
+
+class PeerEntry {
+ public:
+
+  PeerEntry(const PeerEntry&);
+  PeerEntry(PeerEntry&&) noexcept;
+  PeerEntry& operator=(const PeerEntry&);
+  PeerEntry& operator=(PeerEntry&&) noexcept;
+  PeerEntry() noexcept
+            : address(0),
+              port(0),
+              zone(),
+              age(0) {
+  }
+
+  virtual ~PeerEntry() noexcept;
+  int32_t address;
+  int32_t port;
+  std::string zone;
+  int64_t age;
+
+  _PeerEntry__isset __isset;
+
+  void __set_address(const int32_t val);
+
+  void __set_port(const int32_t val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_age(const int64_t val);
+
+  bool operator == (const PeerEntry & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(age == rhs.age))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerEntry & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+};
+
+void swap(PeerEntry &a, PeerEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const PeerEntry& obj);
+
+typedef struct _PeerState__isset {
+  _PeerState__isset() : revision(false), age(false), complete(false), items(false), peers(false) {}
+  bool revision :1;
+  bool age :1;
+  bool complete :1;
+  bool items :1;
+  bool peers :1;
+} _PeerState__isset;
+
+class PeerState {
+ public:
+
+  PeerState(const PeerState&);
+  PeerState(PeerState&&) noexcept;
+  PeerState& operator=(const PeerState&);
+  PeerState& operator=(PeerState&&) noexcept;
+  PeerState() noexcept
+            : revision(0),
+              age(0),
+              complete(0) {
+  }
+
+  virtual ~PeerState() noexcept;
+  int64_t revision;
+  int64_t age;
+  bool complete;
+  std::vector<PeerItem>  items;
+  std::vector<PeerEntry>  peers;
+
+  _PeerState__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_age(const int64_t val);
+
+  void __set_complete(const bool val);
+
+  void __set_items(const std::vector<PeerItem> & val);
+
+  void __set_peers(const std::vector<PeerEntry> & val);
+
+  bool operator == (const PeerState & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(age == rhs.age))
+      return false;
+    if (!(complete == rhs.complete))
+      return false;
+    if (!(items == rhs.items))
+      return false;
+    if (!(peers == rhs.peers))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerState & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+};
+
+void swap(PeerState &a, PeerState &b);
+
+std::ostream& operator<<(std::ostream& out, const PeerState& obj);
+
 }} // namespace
 
 #include "protocol_types.tcc"
--- a/src/gen/protocol_types.tcc
+++ b/src/gen/protocol_types.tcc
@@ -3501,6 +3501,349 @@
   return xfer;
 }
 
+template <class Protocol_>
+uint32_t PeerItem::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->createdRevision);
+          this->__isset.createdRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->deleted);
+          this->__isset.deleted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t PeerItem::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerItem");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("createdRevision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->createdRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deleted", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->deleted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t PeerEntry::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t PeerEntry::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerEntry");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t PeerState::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->items.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
+            {
+              xfer += this->items[_i196].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->peers.clear();
+            uint32_t _size197;
+            ::apache::thrift::protocol::TType _etype200;
+            xfer += iprot->readListBegin(_etype200, _size197);
+            this->peers.resize(_size197);
+            uint32_t _i201;
+            for (_i201 = 0; _i201 < _size197; ++_i201)
+            {
+              xfer += this->peers[_i201].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t PeerState::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerState");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<PeerItem> ::const_iterator _iter202;
+    for (_iter202 = this->items.begin(); _iter202 != this->items.end(); ++_iter202)
+    {
+      xfer += (*_iter202).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
+    std::vector<PeerEntry> ::const_iterator _iter203;
+    for (_iter203 = this->peers.begin(); _iter203 != this->peers.end(); ++_iter203)
+    {
+      xfer += (*_iter203).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 }} // namespace
 
 #endif
--- /dev/null
+++ b/src/peer_codec.cpp
@@ -0,0 +1,139 @@
+#include "peer_codec.h"
+
+#include <charconv>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include "gen/protocol_types.h"
+#include "http_client.h"
+
+namespace indigopoint {
+
+namespace {
+
+using apache::thrift::transport::TMemoryBuffer;
+using CompactProtocol =
+    apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer>;
+
+// A peer waits at most this long, and no belief is older than this.
+constexpr int64_t MostMs = 3'600'000;
+
+int64_t millisecondsOf(Duration Given) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Given).count();
+}
+
+bool readNumber(const std::map<std::string, std::string> &Query,
+                const char *Name, uint64_t &Out) {
+  const auto Found = Query.find(Name);
+  if (Found == Query.end())
+    return false;
+  const char *End = Found->second.data() + Found->second.size();
+  const auto Read = std::from_chars(Found->second.data(), End, Out);
+  return Read.ec == std::errc() && Read.ptr == End;
+}
+
+wire::PeerItem toWire(const StoreItem &Given) {
+  wire::PeerItem Out;
+  Out.key = Given.Key;
+  Out.value = Given.Value;
+  Out.revision = static_cast<int64_t>(Given.Revision);
+  Out.createdRevision = static_cast<int64_t>(Given.CreatedRevision);
+  Out.deleted = Given.Deleted;
+  return Out;
+}
+
+StoreItem fromWire(wire::PeerItem &Given) {
+  return {std::move(Given.key), std::move(Given.value),
+          static_cast<uint64_t>(Given.revision),
+          static_cast<uint64_t>(Given.createdRevision), Given.deleted};
+}
+
+wire::PeerEntry toWire(const PeerNews &Given) {
+  wire::PeerEntry Out;
+  Out.address = static_cast<int32_t>(Given.Address.Address);
+  Out.port = Given.Address.Port;
+  Out.zone = Given.Zone;
+  Out.age = Given.Age.count();
+  return Out;
+}
+
+PeerNews fromWire(wire::PeerEntry &Given) {
+  return {
+      {static_cast<uint32_t>(Given.address), static_cast<uint16_t>(Given.port)},
+      std::move(Given.zone),
+      Duration(Given.age)};
+}
+
+bool isAgeValid(int64_t Age) {
+  return Age >= 0 && Age <= Duration(std::chrono::milliseconds(MostMs)).count();
+}
+
+} // namespace
+
+std::string encodePeerQuestion(const PeerQuestion &Asked) {
+  return std::string(PeerPath) +
+         "?after=" + std::to_string(Asked.AfterRevision) +
+         "&wait_ms=" + std::to_string(millisecondsOf(Asked.Wait)) +
+         "&from=" + encodePath(toString(Asked.Self.Address)) +
+         "&zone=" + encodePath(Asked.Self.Zone);
+}
+
+std::optional<PeerQuestion>
+decodePeerQuestion(const std::map<std::string, std::string> &Query) {
+  PeerQuestion Out;
+  uint64_t WaitMs = 0;
+  const auto From = Query.find("from");
+  const auto Zone = Query.find("zone");
+  if (!readNumber(Query, "after", Out.AfterRevision) ||
+      !readNumber(Query, "wait_ms", WaitMs) || WaitMs > MostMs ||
+      From == Query.end() || Zone == Query.end() ||
+      !parseEndpoint(From->second, Out.Self.Address))
+    return std::nullopt;
+  Out.Wait = std::chrono::milliseconds(WaitMs);
+  Out.Self.Zone = Zone->second;
+  return Out;
+}
+
+std::string encodePeerAnswer(const PeerAnswer &Answer) {
+  wire::PeerState State;
+  State.revision = static_cast<int64_t>(Answer.Changes.Revision);
+  State.age = Answer.Changes.Age.count();
+  State.complete = Answer.Changes.Complete;
+  for (const StoreItem &Each : Answer.Changes.Items)
+    State.items.push_back(toWire(Each));
+  for (const PeerNews &Each : Answer.Peers)
+    State.peers.push_back(toWire(Each));
+  const auto Buffer = std::make_shared<TMemoryBuffer>();
+  CompactProtocol Protocol(Buffer);
+  State.write(&Protocol);
+  return Buffer->getBufferAsString();
+}
+
+std::optional<PeerAnswer> decodePeerAnswer(const std::string &Bytes) {
+  wire::PeerState State;
+  try {
+    const auto Buffer = std::make_shared<TMemoryBuffer>(
+        reinterpret_cast<uint8_t *>(const_cast<char *>(Bytes.data())),
+        static_cast<uint32_t>(Bytes.size()));
+    CompactProtocol Protocol(Buffer);
+    State.read(&Protocol);
+  } catch (const apache::thrift::TException &) {
+    return std::nullopt;
+  }
+  if (!isAgeValid(State.age))
+    return std::nullopt;
+  PeerAnswer Out;
+  Out.Changes.What = StoreResult::Status::Answered;
+  Out.Changes.Revision = static_cast<uint64_t>(State.revision);
+  Out.Changes.Age = Duration(State.age);
+  Out.Changes.Complete = State.complete;
+  for (wire::PeerItem &Each : State.items)
+    Out.Changes.Items.push_back(fromWire(Each));
+  for (wire::PeerEntry &Each : State.peers)
+    if (isAgeValid(Each.age))
+      Out.Peers.push_back(fromWire(Each));
+  return Out;
+}
+
+} // namespace indigopoint
--- /dev/null
+++ b/src/peer_exchange.cpp
@@ -0,0 +1,105 @@
+#include "peer_exchange.h"
+
+namespace indigopoint {
+
+namespace {
+
+// Entries of other instances in one answer.
+constexpr size_t MostNews = 64;
+
+// Questions that wait at a time; more are answered at once.
+constexpr size_t MostWaiting = 512;
+
+} // namespace
+
+PeerExchange::PeerExchange(EventLoop &Loop, HttpClient &Http, PeerNews Self,
+                           PeerTable &Peers, const StoreMirror &Mirror,
+                           AgeHook Age)
+    : Loop(Loop), Http(Http), Server(Loop), Self(std::move(Self)), Peers(Peers),
+      Mirror(Mirror), Age(std::move(Age)) {}
+
+std::error_code PeerExchange::open() {
+  if (Self.Address.Port == 0)
+    return {};
+  Server.route(
+      "GET", PeerPath,
+      [this](const HttpRequest &Request, const HttpServer::Respond &Answer) {
+        onQuestion(Request, Answer);
+      });
+  return Server.open(Self.Address);
+}
+
+void PeerExchange::onQuestion(const HttpRequest &Request,
+                              const HttpServer::Respond &Answer) {
+  const auto Asked = decodePeerQuestion(Request.Query);
+  if (!Asked) {
+    Answer({400, "the parameters after, wait_ms, from and zone are needed",
+            "text/plain"});
+    return;
+  }
+  Peers.note(Asked->Self);
+  if (!Mirror.isLoaded()) {
+    Answer({503, "nothing is known of the store yet", "text/plain"});
+    return;
+  }
+  const bool HasNews = Mirror.revision() > Asked->AfterRevision;
+  if (HasNews || Asked->Wait == Duration() || Questions.size() >= MostWaiting) {
+    answer(*Asked, Answer);
+    return;
+  }
+  Questions.push_front({*Asked, Answer, {}});
+  Questions.front().Limit =
+      LoopEvent::after(Loop, Asked->Wait, [this, At = Questions.begin()] {
+        const Waiting Over = std::move(*At);
+        Questions.erase(At);
+        answer(Over.Asked, Over.Answer);
+      });
+}
+
+void PeerExchange::answer(const PeerQuestion &Asked,
+                          const HttpServer::Respond &Answer) {
+  PeerAnswer Told;
+  Told.Changes.Revision = Mirror.revision();
+  Told.Changes.Age = Age();
+  auto Changes = Mirror.since(Asked.AfterRevision);
+  Told.Changes.Complete = !Changes;
+  Told.Changes.Items = Changes ? std::move(*Changes) : Mirror.all();
+  Told.Peers = Peers.news(Asked.Self.Zone, MostNews);
+  Told.Peers.push_back(Self);
+  Answer({200, encodePeerAnswer(Told), "application/octet-stream"});
+}
+
+void PeerExchange::notify() {
+  std::list<Waiting> Ready;
+  Ready.swap(Questions);
+  for (const Waiting &Each : Ready)
+    answer(Each.Asked, Each.Answer);
+}
+
+void PeerExchange::ask(Endpoint Peer, uint64_t AfterRevision, Duration Wait,
+                       Duration Timeout, AnswerHook OnAnswer) {
+  HttpCall Call;
+  Call.To = Peer;
+  Call.Target = encodePeerQuestion({AfterRevision, Wait, Self});
+  Call.Timeout = Timeout;
+  Http.call(Call, [this, Peer,
+                   OnAnswer = std::move(OnAnswer)](const HttpResult &Result) {
+    onAnswer(Peer, Result, OnAnswer);
+  });
+}
+
+void PeerExchange::onAnswer(Endpoint Peer, const HttpResult &Result,
+                            const AnswerHook &OnAnswer) {
+  const auto Told =
+      Result.Status == 200 ? decodePeerAnswer(Result.Body) : std::nullopt;
+  if (!Told) {
+    Peers.noteFailure(Peer);
+    OnAnswer({});
+    return;
+  }
+  for (const PeerNews &Each : Told->Peers)
+    Peers.note(Each);
+  OnAnswer(Told->Changes);
+}
+
+} // namespace indigopoint
--- /dev/null
+++ b/src/peer_table.cpp
@@ -0,0 +1,95 @@
+#include "peer_table.h"
+
+#include <algorithm>
+
+#include "placement.h"
+
+namespace indigopoint {
+
+namespace {
+
+// Each instance is heard of every few seconds; one that is not is gone.
+constexpr Duration Memory = std::chrono::seconds(20);
+
+constexpr Duration FailureAvoidance = std::chrono::seconds(5);
+
+// Seeds and peers are asked for news in turn, this many seeds to one peer.
+constexpr size_t SeedsPerPeer = 3;
+
+uint64_t keyOf(Endpoint Peer) {
+  return (uint64_t{Peer.Address} << 16) | Peer.Port;
+}
+
+} // namespace
+
+PeerTable::PeerTable(Endpoint Self, std::string Zone,
+                     std::vector<Endpoint> Seeds, const Clock &Time,
+                     RandomSource &Random)
+    : Self(Self), Zone(std::move(Zone)), Seeds(std::move(Seeds)), Time(Time),
+      Random(Random) {}
+
+bool PeerTable::isUsable(const Entry &Given) const {
+  return Time.now() - Given.HeardAt <= Memory && Time.now() >= Given.AvoidUntil;
+}
+
+void PeerTable::note(const PeerNews &News) {
+  if (News.Address == Self || News.Address.Port == 0 || News.Age > Memory)
+    return;
+  Entry &Known = Peers[News.Address];
+  Known.Zone = News.Zone;
+  Known.HeardAt = std::max(Known.HeardAt, Time.now() - News.Age);
+  std::erase_if(Peers, [this](const auto &Each) {
+    return Time.now() - Each.second.HeardAt > Memory;
+  });
+}
+
+void PeerTable::noteFailure(Endpoint Peer) {
+  const auto Found = Peers.find(Peer);
+  if (Found != Peers.end())
+    Found->second.AvoidUntil = Time.now() + FailureAvoidance;
+}
+
+std::vector<PeerNews> PeerTable::news(const std::string &ForZone,
+                                      size_t Most) const {
+  std::vector<PeerNews> Out;
+  for (const bool SameZone : {true, false})
+    for (const auto &[Address, Known] : Peers)
+      if ((Known.Zone == ForZone) == SameZone && Out.size() < Most)
+        Out.push_back({Address, Known.Zone, Time.now() - Known.HeardAt});
+  return Out;
+}
+
+size_t PeerTable::zoneSize() const {
+  return 1 +
+         std::count_if(Peers.begin(), Peers.end(), [this](const auto &Each) {
+           return Each.second.Zone == Zone && isUsable(Each.second);
+         });
+}
+
+Endpoint PeerTable::zoneReader() const {
+  const uint64_t Key = std::hash<std::string>{}(Zone);
+  Endpoint Best = Self;
+  for (const auto &[Address, Known] : Peers)
+    if (Known.Zone == Zone && isUsable(Known) &&
+        rendezvousScore(Key, keyOf(Address)) >
+            rendezvousScore(Key, keyOf(Best)))
+      Best = Address;
+  return Best;
+}
+
+std::optional<Endpoint> PeerTable::nextContact() {
+  std::vector<Endpoint> Candidates;
+  const bool AskSeed = Turn++ % (SeedsPerPeer + 1) != SeedsPerPeer;
+  if (AskSeed)
+    Candidates = Seeds;
+  else
+    for (const auto &[Address, Known] : Peers)
+      if (isUsable(Known))
+        Candidates.push_back(Address);
+  std::erase(Candidates, Self);
+  if (Candidates.empty())
+    return std::nullopt;
+  return Candidates[Random.below(Candidates.size())];
+}
+
+} // namespace indigopoint
--- /dev/null
+++ b/src/peer_table.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "random_source.h"
+#include "types.h"
+
+namespace indigopoint {
+
+/// One other instance, as instances tell each other of it.
+struct PeerNews {
+  Endpoint Address;
+  std::string Zone;
+  /// Since it was last heard from.
+  Duration Age{};
+};
+
+/// The other instances that were heard of lately.
+class PeerTable {
+public:
+  PeerTable(Endpoint Self, std::string Zone, std::vector<Endpoint> Seeds,
+            const Clock &Time, RandomSource &Random);
+
+  void setSeeds(std::vector<Endpoint> Given) { Seeds = std::move(Given); }
+
+  /// Takes news; those on this instance itself are ignored.
+  void note(const PeerNews &News);
+
+  /// The instance did not answer; it is not chosen for some seconds.
+  void noteFailure(Endpoint Peer);
+
+  /// What to tell others: up to \p Most entries, those of \p Zone first.
+  std::vector<PeerNews> news(const std::string &Zone, size_t Most) const;
+
+  /// How many instances of the own zone are known, this one included.
+  size_t zoneSize() const;
+
+  /// The instance of the own zone that reads the store for the others; this
+  /// one if it is its own address. All members choose alike once they know of
+  /// each other.
+  Endpoint zoneReader() const;
+
+  /// The next instance to exchange news with: seeds and known peers in turn.
+  std::optional<Endpoint> nextContact();
+
+  size_t size() const { return Peers.size(); }
+
+private:
+  struct Entry {
+    std::string Zone;
+    TimePoint HeardAt{};
+    TimePoint AvoidUntil{};
+  };
+
+  bool isUsable(const Entry &Given) const;
+
+  Endpoint Self;
+  std::string Zone;
+  std::vector<Endpoint> Seeds;
+  const Clock &Time;
+  RandomSource &Random;
+  std::map<Endpoint, Entry> Peers;
+  size_t Turn = 0;
+};
+
+} // namespace indigopoint
--- a/src/protocol.thrift
+++ b/src/protocol.thrift
@@ -322,3 +322,28 @@
   4: i32 total
   5: binary bytes
 }
+
+/* What one instance tells another over HTTP of the store and of its peers. */
+
+struct PeerItem {
+  1: string key
+  2: binary value
+  3: i64 revision
+  4: i64 createdRevision
+  5: bool deleted
+}
+
+struct PeerEntry {
+  1: i32 address
+  2: i32 port
+  3: string zone
+  4: i64 age
+}
+
+struct PeerState {
+  1: i64 revision
+  2: i64 age
+  3: bool complete
+  4: list<PeerItem> items
+  5: list<PeerEntry> peers
+}
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -14,6 +14,9 @@
 // A call that should be answered at once.
 constexpr Duration CallTimeout = std::chrono::milliseconds(900);
 
+// The same for a peer, on top of the time that it may hold a call.
+constexpr Duration PeerTimeout = std::chrono::milliseconds(200);
+
 // Changes come in groups. Each call is paid for, so the next watch starts a
 // little after an answer and brings the rest of the group at once.
 constexpr Duration PauseAfterChange = std::chrono::milliseconds(400);
@@ -22,6 +25,9 @@
 // little early. A call that is due this soon is made at once.
 constexpr Duration TimerSlack = std::chrono::milliseconds(20);
 
+// While the store does not answer, calls to it and to peers take turns.
+constexpr Duration PauseAfterPeer = std::chrono::milliseconds(100);
+
 constexpr Duration FirstRetry = std::chrono::milliseconds(100);
 constexpr Duration LongestRetry = std::chrono::milliseconds(800);
 
@@ -31,31 +37,36 @@
   return StatusNames.at(static_cast<size_t>(Value));
 }
 
-StoreSync::StoreSync(Settings Given, const Clock &Time, RandomSource &Random)
-    : Given(Given), Time(Time), Random(Random) {}
+bool StoreSync::isDue() const {
+  return !Calling && Time.now() + TimerSlack >= NextAt;
+}
 
-std::optional<StoreQuery> StoreSync::next() {
-  if (Calling || Time.now() + TimerSlack < NextAt)
-    return std::nullopt;
+StoreQuery StoreSync::start(const SyncSource &Source) {
   Calling = true;
+  AskingPeer = Source.Peer.has_value();
   StoreQuery Query;
-  Query.Timeout = CallTimeout;
+  Query.Peer = Source.Peer;
+  Query.Timeout = AskingPeer ? PeerTimeout : CallTimeout;
   if (TakingSnapshot) {
+    if (AskingPeer)
+      Pages.clear();
     Query.AfterKey = Pages.empty() ? "" : Pages.back().Key;
     return Query;
   }
   Query.What = StoreQuery::Kind::Watch;
   Query.AfterRevision = Revision;
   // After a failure a short watch shows sooner whether the store is back.
-  if (Failures == 0) {
-    Query.Wait = Given.MaxAge - CallTimeout;
-    Query.Timeout = Given.MaxAge;
-  }
+  if (Failures == 0)
+    Query.Wait = Source.Wait;
+  Query.Timeout += Query.Wait;
   return Query;
 }
 
 std::optional<StoreSync::Update> StoreSync::onResult(StoreResult Result) {
   Calling = false;
+  NextAt = Time.now();
+  if (AskingPeer)
+    return onPeerAnswer(Result);
   switch (Result.What) {
   case StoreResult::Status::Answered:
     Failures = 0;
@@ -64,7 +75,6 @@
   case StoreResult::Status::HistoryLost:
     TakingSnapshot = true;
     Pages.clear();
-    NextAt = Time.now();
     return std::nullopt;
   case StoreResult::Status::Refused:
   case StoreResult::Status::Failed:
@@ -74,16 +84,37 @@
   return std::nullopt;
 }
 
-void StoreSync::fail() {
+// A peer may know less than this instance; nothing is taken back then.
+std::optional<StoreSync::Update> StoreSync::onPeerAnswer(StoreResult &Result) {
+  if (Failures > 0)
+    NextAt += PauseAfterPeer;
+  if (Result.What != StoreResult::Status::Answered ||
+      Result.Revision < Revision || (TakingSnapshot && !Result.Complete))
+    return std::nullopt;
+  Revision = Result.Revision;
+  ConfirmedAt = std::max(ConfirmedAt, Time.now() - Result.Age);
+  if (Result.Complete) {
+    TakingSnapshot = false;
+    Synced = true;
+  } else if (Result.Items.empty()) {
+    return std::nullopt;
+  }
+  return Update{Result.Complete, std::move(Result.Items)};
+}
+
+// Instances that failed together do not come back together.
+Duration StoreSync::retryPause() {
   const Duration Backoff =
       std::min(FirstRetry * (1 << std::min(Failures, 8U)), LongestRetry);
+  return Backoff / 2 + Duration(Random.below(Backoff.count()));
+}
+
+void StoreSync::fail() {
+  NextAt += retryPause();
   ++Failures;
-  // Instances that failed together do not come back together.
-  NextAt = Time.now() + Backoff / 2 + Duration(Random.below(Backoff.count()));
 }
 
 std::optional<StoreSync::Update> StoreSync::onPage(StoreResult &Result) {
-  NextAt = Time.now();
   // Later pages may hold newer values than the first; watching from the
   // revision of the first repeats them and misses none.
   if (Pages.empty())
@@ -99,7 +130,6 @@
 
 std::optional<StoreSync::Update> StoreSync::onEvents(StoreResult &Result) {
   Revision = std::max(Revision, Result.Revision);
-  NextAt = Time.now();
   if (Result.Items.empty())
     return std::nullopt;
   NextAt += PauseAfterChange;
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -21,6 +21,14 @@
   bool Deleted = false;
 };
 
+/// Whom to ask for what the store holds.
+struct SyncSource {
+  /// Another instance; the store itself if it is not set.
+  std::optional<Endpoint> Peer;
+  /// How long it may hold a watch while nothing changes.
+  Duration Wait{};
+};
+
 /// A call that StoreSync asks for.
 struct StoreQuery {
   enum class Kind : uint8_t {
@@ -31,6 +39,8 @@
   };
 
   Kind What = Kind::Snapshot;
+  /// Where the call goes; the store if it is not set.
+  std::optional<Endpoint> Peer;
   /// Snapshot: the last key of the page before; empty for the first page.
   std::string AfterKey;
   /// Watch: the revision that is known.
@@ -58,6 +68,10 @@
   uint64_t Revision = 0;
   /// More pages follow.
   bool HasMore = false;
+  /// A peer sent all that the store holds.
+  bool Complete = false;
+  /// How long ago a peer last heard from the store.
+  Duration Age{};
 };
 
 std::string_view nameOf(StoreResult::Status Value);
@@ -66,12 +80,6 @@
 /// on. Says which call is due when; makes none itself.
 class StoreSync {
 public:
-  struct Settings {
-    /// How long a belief may go unconfirmed. A connection can go silent
-    /// without a sign, so a watch is renewed within this time.
-    Duration MaxAge = std::chrono::seconds(4);
-  };
-
   /// What an answer brought.
   struct Update {
     /// The items are all that the store holds; others are gone.
@@ -79,12 +87,16 @@
     std::vector<StoreItem> Items;
   };
 
-  StoreSync(Settings Given, const Clock &Time, RandomSource &Random);
+  StoreSync(const Clock &Time, RandomSource &Random)
+      : Time(Time), Random(Random) {}
+
+  /// Whether a call is due and none is under way.
+  bool isDue() const;
 
-  /// The call to make now, if one is due and none is under way.
-  std::optional<StoreQuery> next();
+  /// Starts the call that is due, to \p Source.
+  StoreQuery start(const SyncSource &Source);
 
-  /// When next has to be asked again.
+  /// When the next call is due.
   TimePoint wakeAt() const { return NextAt; }
 
   /// Takes the result of the call under way.
@@ -92,23 +104,25 @@
 
   bool isSynced() const { return Synced; }
 
-  /// Calls in a row that failed; 0 while the store is reached.
+  /// Calls in a row to the store that failed; 0 while it is reached.
   uint32_t failures() const { return Failures; }
 
-  /// When the store last answered.
+  /// When what is known was last confirmed by the store, here or at a peer.
   TimePoint confirmedAt() const { return ConfirmedAt; }
 
   uint64_t revision() const { return Revision; }
 
 private:
+  std::optional<Update> onPeerAnswer(StoreResult &Result);
   std::optional<Update> onPage(StoreResult &Result);
   std::optional<Update> onEvents(StoreResult &Result);
   void fail();
+  Duration retryPause();
 
-  Settings Given;
   const Clock &Time;
   RandomSource &Random;
   bool Calling = false;
+  bool AskingPeer = false;
   bool Synced = false;
   bool TakingSnapshot = true;
   uint32_t Failures = 0;
