Read the store again after a lost history

Cause: a watch that failed and then found the history gone left the count of failures as it was.

Change: a lost history counts as an answer of the store, so the store is read next. Repeated copies are no longer logged as changes, nor do they start a warm-up anew.

--- a/src/store_beliefs.cpp
+++ b/src/store_beliefs.cpp
@@ -38,6 +38,9 @@
                         const RouteConfiguration &Given) {
   const ConfigVersion Before = Routes.version();
   const RouteTable::Change Change = Routes.apply(Given);
+  // Copies of the version in force are nothing new.
+  if (!Change.Applied && Given.Version == Before)
+    return;
   Log.write(Change.Applied ? LogEvent::ConfigurationApplied
                            : LogEvent::ConfigurationIgnored,
             [&] {
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -73,6 +73,7 @@
     ConfirmedAt = Time.now();
     return TakingSnapshot ? onPage(Result) : onEvents(Result);
   case StoreResult::Status::HistoryLost:
+    Failures = 0;
     TakingSnapshot = true;
     Pages.clear();
     return std::nullopt;
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -29,6 +29,9 @@
   Upstream &Entry = At->second;
   const UpstreamState Next =
       Given.Draining ? UpstreamState::Draining : UpstreamState::Ready;
+  // A repeated copy must not start the warm-up anew.
+  if (!Added && Entry.Registration == Given && Entry.State == Next)
+    return Change::None;
   Change Result = Change::Updated;
   if (Added)
     Result = Change::Added;
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -26,6 +26,7 @@
   Duration WarmupLeft{};
   /// Start of its process in Unix milliseconds; 0 if it does not say.
   int64_t StartedAtMs = 0;
+  bool operator==(const UpstreamRegistration &) const = default;
 };
 
 enum class UpstreamState : uint8_t {
--- a/tests/config_controller_test.cpp
+++ b/tests/config_controller_test.cpp
@@ -146,8 +146,7 @@
   for (int Step = 0; Step < 3500; ++Step) {
     const uint64_t Count = Fleet.Store.Reads + Fleet.Store.Watches;
     Fleet.run(milliseconds(10));
-    PerMoment[Fleet.Time.Time] =
-        Fleet.Store.Reads + Fleet.Store.Watches - Count;
+    PerMoment[Fleet.Time.Now] = Fleet.Store.Reads + Fleet.Store.Watches - Count;
   }
   EXPECT_EQ(node(0).version(), 2U);
   for (const auto &[At, Count] : PerMoment)
--- a/tests/config_fleet.cpp
+++ b/tests/config_fleet.cpp
@@ -62,30 +62,30 @@
 }
 
 void ConfigFleet::run(Duration Span) {
-  const TimePoint End = Time.Time + Span;
-  while (Time.Time < End)
+  const TimePoint End = Time.Now + Span;
+  while (Time.Now < End)
     step();
 }
 
 Duration ConfigFleet::runUntil(uint64_t Version, Duration Limit) {
-  const TimePoint Start = Time.Time;
+  const TimePoint Start = Time.Now;
   const auto Done = [&] {
     return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &Each) {
       return !Each->Alive || Each->version() >= Version;
     });
   };
-  while (!Done() && Time.Time - Start < Limit)
+  while (!Done() && Time.Now - Start < Limit)
     step();
-  return Time.Time - Start;
+  return Time.Now - Start;
 }
 
 void ConfigFleet::step() {
-  Time.Time += std::chrono::milliseconds(1);
+  Time.Now += std::chrono::milliseconds(1);
   deliver();
   answerCalls();
-  if (Time.Time < NextTick)
+  if (Time.Now < NextTick)
     return;
-  NextTick = Time.Time + TickInterval;
+  NextTick = Time.Now + TickInterval;
   for (size_t Index = 0; Index < Nodes.size(); ++Index) {
     if (!Nodes[Index]->Alive)
       continue;
@@ -117,13 +117,13 @@
       const size_t To = indexOf(Sent->To);
       From.SentBytes += sizeOf(Sent->Body);
       if (Network(From, *Nodes[To], Sent->Body))
-        InFlight.emplace(Time.Time + Latency,
+        InFlight.emplace(Time.Now + Latency,
                          Delivery{Index, To, std::move(Sent->Body)});
     } else if (auto *Call = std::get_if<StoreCall>(&Each)) {
       ++From.StoreCalls;
       From.MostOpenCalls = std::max(From.MostOpenCalls, ++From.OpenCalls);
       ++(Call->Kind == StoreCallKind::Watch ? Store.Watches : Store.Reads);
-      Calls.push_back({Index, std::move(*Call), Time.Time});
+      Calls.push_back({Index, std::move(*Call), Time.Now});
     } else if (auto *Line = std::get_if<LogLine>(&Each)) {
       From.Log.push_back(Line->Text);
     }
@@ -131,7 +131,7 @@
 }
 
 void ConfigFleet::deliver() {
-  while (!InFlight.empty() && InFlight.begin()->first <= Time.Time) {
+  while (!InFlight.empty() && InFlight.begin()->first <= Time.Now) {
     Delivery Next = std::move(InFlight.begin()->second);
     InFlight.erase(InFlight.begin());
     Node &From = *Nodes[Next.From];
@@ -160,7 +160,7 @@
 }
 
 bool ConfigFleet::answer(OpenCall &Open) {
-  if (Time.Time - Open.At < std::chrono::milliseconds(2))
+  if (Time.Now - Open.At < std::chrono::milliseconds(2))
     return false;
   Node &Caller = *Nodes[Open.Caller];
   StoreAnswer Answer;
@@ -173,7 +173,7 @@
               It->second.Value};
   } else if (Open.Call.Kind == StoreCallKind::Get) {
     Answer.Status = StoreStatus::NotFound;
-  } else if (Time.Time - Open.At >= Open.Call.Wait) {
+  } else if (Time.Now - Open.At >= Open.Call.Wait) {
     Answer.Status = StoreStatus::Unchanged;
   } else {
     return false;
--- a/tests/config_fleet.h
+++ b/tests/config_fleet.h
@@ -8,16 +8,11 @@
 
 #include "blackboard.h"
 #include "config_controller.h"
+#include "manual_clock.h"
 #include "peer_link.h"
 
 namespace indigopoint {
 
-class FleetClock : public Clock {
-public:
-  TimePoint now() const override { return Time; }
-  TimePoint Time{std::chrono::seconds(1000)};
-};
-
 /// The platform's store as far as instances use it.
 struct FleetStore {
   struct Entry {
@@ -72,7 +67,7 @@
   /// \p Limit.
   Duration runUntil(uint64_t Version, Duration Limit);
 
-  FleetClock Time;
+  ManualClock Time;
   FleetStore Store;
   Filter Network = [](Node &, Node &, Message &) { return true; };
   std::function<bool(const Node &)> StoreReachable = [](const Node &) {
--- a/tests/engine_fixture.h
+++ b/tests/engine_fixture.h
@@ -10,15 +10,10 @@
 
 #include "config_codec.h"
 #include "decision_engine.h"
+#include "manual_clock.h"
 
 namespace indigopoint {
 
-class VirtualClock : public Clock {
-public:
-  TimePoint now() const override { return Now; }
-  TimePoint Now{std::chrono::hours(1)};
-};
-
 /// Delivers messages between a few engines in virtual time. Datagrams to
 /// endpoints that are no instance, such as callers and upstreams, go to
 /// OnOutside.
@@ -121,7 +116,7 @@
       step(std::min(End, nextTick()));
   }
 
-  VirtualClock Time;
+  ManualClock Time;
   RandomSource Random;
   std::string Region = "lim";
   /// While true, each call of the store fails.
--- /dev/null
+++ b/tests/flow_steering_test.cpp
@@ -0,0 +1,321 @@
+#include "flow_steering.h"
+
+#include <gtest/gtest.h>
+
+#include "manual_clock.h"
+
+namespace indigopoint {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Endpoint ChatAddress{0xc6120001, 443};
+constexpr Endpoint PhotoAddress{0xc6120001, 8443};
+constexpr Endpoint UnknownAddress{0xc6120002, 1};
+
+// One instance in zone "a" with two chat upstreams there, one in zone "b", and
+// a photo upstream.
+class FlowSteeringTest : public testing::Test {
+protected:
+  FlowSteeringTest() {
+    configure(1, {{"chat", ChatAddress, {{"chat", 1}}, false},
+                  {"photos", PhotoAddress, {{"photos", 1}}, true}});
+    add(11, "chat", "a");
+    add(12, "chat", "a");
+    add(13, "chat", "b");
+    add(21, "photos", "a");
+  }
+
+  void configure(uint64_t Version, std::vector<Route> Given) {
+    Routes.apply({ConfigVersion(Version), std::move(Given), 15s});
+  }
+
+  UpstreamRegistration registration(uint64_t Id, const std::string &Service,
+                                    const std::string &Zone) {
+    UpstreamRegistration Out;
+    Out.Id = UpstreamId(Id);
+    Out.Service = Service;
+    Out.Zone = Zone;
+    Out.Address = {0x0a000000 + static_cast<uint32_t>(Id), 80};
+    Out.Slots = 2;
+    return Out;
+  }
+
+  void add(uint64_t Id, const std::string &Service, const std::string &Zone) {
+    Upstreams.put(registration(Id, Service, Zone), ++Revision, Time.now());
+  }
+
+  void drain(uint64_t Id, const std::string &Service, const std::string &Zone) {
+    UpstreamRegistration Leaving = registration(Id, Service, Zone);
+    Leaving.Draining = true;
+    Upstreams.put(Leaving, 1, Time.now());
+  }
+
+  static PacketHeader opening(uint16_t Port, Endpoint To = ChatAddress,
+                              uint32_t Copy = 0) {
+    PacketHeader Packet;
+    Packet.Flow = {{0x64400001, Port}, To};
+    Packet.Sequence = 1000;
+    Packet.Acknowledged = Copy;
+    Packet.Opens = true;
+    return Packet;
+  }
+
+  static PacketHeader data(uint16_t Port, uint64_t Upstream,
+                           uint32_t Acknowledged = 500,
+                           Endpoint To = ChatAddress) {
+    PacketHeader Packet;
+    Packet.Flow = {{0x64400001, Port}, To};
+    Packet.Sequence = 1001;
+    Packet.Acknowledged = Acknowledged;
+    Packet.DataBytes = 100;
+    if (Upstream != 0)
+      Packet.Tag = tagOf(Packet.Flow, UpstreamId(Upstream));
+    return Packet;
+  }
+
+  static uint64_t idOf(const SteeringDecision &Decision) {
+    return Decision.To == nullptr ? 0 : Decision.To->Registration.Id.value();
+  }
+
+  // Opens a flow and lets its client go on; returns its upstream.
+  uint64_t open(uint16_t Port, Endpoint To = ChatAddress) {
+    const uint64_t Id = idOf(Steering.steer(opening(Port, To)));
+    Time.advance(7ms);
+    EXPECT_EQ(idOf(Steering.steer(data(Port, Id, 500, To))), Id);
+    return Id;
+  }
+
+  ManualClock Time;
+  RouteTable Routes;
+  UpstreamRegistry Upstreams;
+  FlowSteering Steering{{"a"}, Time, Routes, Upstreams};
+  uint64_t Revision = 0;
+};
+
+TEST_F(FlowSteeringTest, ANewFlowGoesToAnUpstreamOfItsServiceAndZone) {
+  const SteeringDecision Decision = Steering.steer(opening(1, PhotoAddress));
+  EXPECT_EQ(Decision.Action, SteeringAction::Forward);
+  EXPECT_EQ(Decision.Reason, SteeringReason::NewFlow);
+  EXPECT_EQ(idOf(Decision), 21U);
+  for (uint16_t Port = 2; Port < 30; ++Port)
+    EXPECT_NE(open(Port), 13U);
+}
+
+TEST_F(FlowSteeringTest, NewFlowsAreSpreadEvenly) {
+  std::map<uint64_t, int> Count;
+  for (uint16_t Port = 1; Port <= 100; ++Port)
+    ++Count[open(Port)];
+  EXPECT_EQ(Count[11], 50);
+  EXPECT_EQ(Count[12], 50);
+}
+
+// A zone whose upstreams left is served by the others.
+TEST_F(FlowSteeringTest, WithoutUpstreamsInTheZoneOthersServe) {
+  drain(11, "chat", "a");
+  Upstreams.remove(UpstreamId(12), Time.now());
+  EXPECT_EQ(open(1), 13U);
+}
+
+TEST_F(FlowSteeringTest, PacketsFollowTheirFlowWhileItsUpstreamDrains) {
+  const uint64_t Id = open(1);
+  drain(Id, "chat", "a");
+  EXPECT_EQ(idOf(Steering.steer(data(1, Id, 600))), Id);
+  for (uint16_t Port = 2; Port < 20; ++Port)
+    EXPECT_NE(open(Port), Id);
+}
+
+// Guards open flows while instances die, start and routers hash anew.
+TEST_F(FlowSteeringTest, APacketOfAnotherInstancesFlowFollowsItsTag) {
+  const SteeringDecision Decision = Steering.steer(data(1, 13));
+  EXPECT_EQ(Decision.Reason, SteeringReason::TaggedFlow);
+  EXPECT_EQ(idOf(Decision), 13U);
+}
+
+// Seen after a change of weights: instances that started later did not know
+// that a service had been part of the route, and silenced its open flows.
+TEST_F(FlowSteeringTest, AFlowStaysAtAServiceThatItsRouteHasLeft) {
+  EXPECT_EQ(idOf(Steering.steer(data(1, 21))), 21U);
+}
+
+// A client may write any tag it likes.
+TEST_F(FlowSteeringTest, ATagOfAnotherFlowLeadsNowhere) {
+  PacketHeader Forged = data(1, 0);
+  Forged.Tag = tagOf(data(2, 0).Flow, UpstreamId(21));
+  const SteeringDecision Decision = Steering.steer(Forged);
+  EXPECT_EQ(Decision.Action, SteeringAction::Drop);
+  EXPECT_EQ(Decision.Reason, SteeringReason::UnknownTag);
+}
+
+// A throwaway trial broke open flows by resets in its first moments.
+TEST_F(FlowSteeringTest, WithoutAConfigurationNothingIsReset) {
+  RouteTable Empty;
+  FlowSteering Fresh({"a"}, Time, Empty, Upstreams);
+  for (const PacketHeader &Packet : {opening(1), data(2, 11)}) {
+    const SteeringDecision Decision = Fresh.steer(Packet);
+    EXPECT_EQ(Decision.Action, SteeringAction::Drop);
+    EXPECT_EQ(Decision.Reason, SteeringReason::NoConfiguration);
+  }
+}
+
+TEST_F(FlowSteeringTest, ANewFlowWithoutARouteIsRefusedAtOnce) {
+  const SteeringDecision Decision = Steering.steer(opening(1, UnknownAddress));
+  EXPECT_EQ(Decision.Action, SteeringAction::Reset);
+  EXPECT_EQ(Decision.Reason, SteeringReason::NoRoute);
+}
+
+// Another instance may know a newer configuration, under which the flow was
+// opened.
+TEST_F(FlowSteeringTest, AnUnknownFlowWithoutARouteIsNotReset) {
+  EXPECT_EQ(Steering.steer(data(1, 11, 500, UnknownAddress)).Action,
+            SteeringAction::Drop);
+}
+
+TEST_F(FlowSteeringTest, AFlowWhoseRouteWasRemovedIsReset) {
+  open(1);
+  configure(2, {});
+  const SteeringDecision Decision = Steering.steer(data(1, 11));
+  EXPECT_EQ(Decision.Action, SteeringAction::Reset);
+  EXPECT_EQ(Decision.Reason, SteeringReason::RouteRemoved);
+}
+
+TEST_F(FlowSteeringTest, ANewFlowWithoutAnUpstreamIsRefusedAtOnce) {
+  Upstreams.remove(UpstreamId(21), Time.now());
+  const SteeringDecision Decision = Steering.steer(opening(1, PhotoAddress));
+  EXPECT_EQ(Decision.Action, SteeringAction::Reset);
+  EXPECT_EQ(Decision.Reason, SteeringReason::NoUpstream);
+}
+
+// An earlier copy may have gone through another instance and opened the flow.
+TEST_F(FlowSteeringTest, ACopyOfAnOpeningIsNeverRefused) {
+  Upstreams.remove(UpstreamId(21), Time.now());
+  EXPECT_EQ(Steering.steer(opening(1, PhotoAddress, 1)).Action,
+            SteeringAction::Drop);
+}
+
+// Dark upstreams: a copy after 200 ms tells that nothing answered.
+TEST_F(FlowSteeringTest, ACopyOfAnUnansweredOpeningTriesAnotherUpstream) {
+  const uint64_t First = idOf(Steering.steer(opening(1)));
+  Time.advance(200ms);
+  const SteeringDecision Copy = Steering.steer(opening(1, ChatAddress, 1));
+  EXPECT_EQ(Copy.Reason, SteeringReason::MovedOpening);
+  EXPECT_NE(idOf(Copy), First);
+}
+
+// A second answer from another upstream would leave its tag with the client.
+TEST_F(FlowSteeringTest, ACopyStaysWhereOthersWereAnsweredSince) {
+  const uint64_t First = idOf(Steering.steer(opening(1)));
+  Time.advance(20ms);
+  uint16_t Port = 2;
+  while (open(Port) != First)
+    ++Port;
+  Time.advance(180ms);
+  const SteeringDecision Copy = Steering.steer(opening(1, ChatAddress, 1));
+  EXPECT_EQ(Copy.Reason, SteeringReason::RepeatedOpening);
+  EXPECT_EQ(idOf(Copy), First);
+}
+
+// The flow belongs to the upstream whose answer the client took, which its
+// next packet names.
+TEST_F(FlowSteeringTest, TheFirstAnswerTakenDecidesAfterACopyWentElsewhere) {
+  const uint64_t First = idOf(Steering.steer(opening(1)));
+  Time.advance(200ms);
+  Steering.steer(opening(1, ChatAddress, 1));
+  EXPECT_EQ(idOf(Steering.steer(data(1, First))), First);
+  // A late second answer leaves its tag with the client.
+  EXPECT_EQ(idOf(Steering.steer(data(1, First == 11 ? 12 : 11, 700))), First);
+}
+
+TEST_F(FlowSteeringTest, ASilentUpstreamIsAvoided) {
+  const uint64_t Silent = idOf(Steering.steer(opening(1)));
+  Time.advance(OpenTimeout);
+  for (uint16_t Port = 2; Port < 20; ++Port)
+    EXPECT_NE(open(Port), Silent);
+}
+
+// One trial at a time: each costs a caller time if the upstream is still dark.
+TEST_F(FlowSteeringTest, AfterASuspicionOneFlowTriesTheUpstream) {
+  const uint64_t Silent = idOf(Steering.steer(opening(1)));
+  Time.advance(OpenTimeout);
+  open(2);
+  Time.advance(2s);
+  int Tried = 0;
+  for (uint16_t Port = 3; Port < 13; ++Port)
+    Tried += idOf(Steering.steer(opening(Port))) == Silent ? 1 : 0;
+  EXPECT_EQ(Tried, 1);
+}
+
+TEST_F(FlowSteeringTest, AnAnswerEndsTheSuspicion) {
+  const uint64_t Silent = idOf(Steering.steer(opening(1)));
+  Time.advance(OpenTimeout + 10ms);
+  Steering.steer(data(1, Silent));
+  std::map<uint64_t, int> Count;
+  for (uint16_t Port = 2; Port < 42; ++Port)
+    ++Count[open(Port)];
+  EXPECT_GT(Count[Silent], 15);
+}
+
+// With all upstreams under suspicion a caller is still better off with a try.
+TEST_F(FlowSteeringTest, IfAllAreSuspectOneIsTried) {
+  for (uint16_t Port = 1; Port <= 6; ++Port)
+    Steering.steer(opening(Port));
+  Time.advance(OpenTimeout);
+  EXPECT_EQ(Steering.steer(opening(7)).Action, SteeringAction::Forward);
+}
+
+// Addresses of upstreams that are gone are used again by other services.
+TEST_F(FlowSteeringTest, APacketDoesNotFollowAnAddressToItsNextOwner) {
+  const uint64_t Id = open(1, PhotoAddress);
+  Upstreams.remove(UpstreamId(Id), Time.now());
+  EXPECT_EQ(idOf(Steering.steer(data(1, Id, 600, PhotoAddress))), Id);
+  UpstreamRegistration Next = registration(99, "chat", "a");
+  Next.Address = registration(Id, "photos", "a").Address;
+  Upstreams.put(Next, ++Revision, Time.now());
+  const SteeringDecision Decision =
+      Steering.steer(data(1, Id, 700, PhotoAddress));
+  EXPECT_EQ(Decision.Action, SteeringAction::Drop);
+  EXPECT_EQ(Decision.Reason, SteeringReason::AddressReused);
+}
+
+TEST_F(FlowSteeringTest, ANewFlowOfAUsedPortIsChosenAnew) {
+  open(1);
+  PacketHeader Again = opening(1);
+  Again.Sequence = 77'000;
+  EXPECT_EQ(Steering.steer(Again).Reason, SteeringReason::NewFlow);
+}
+
+// Flows that ended must not weigh on their upstream for ever.
+TEST_F(FlowSteeringTest, FlowsThatEndNoLongerCount) {
+  const uint64_t Id = open(1);
+  EXPECT_EQ(Upstreams.find(UpstreamId(Id))->OpenFlows, 1U);
+  PacketHeader Finish = data(1, Id, 600);
+  Finish.Finishes = true;
+  Steering.steer(Finish);
+  EXPECT_EQ(Upstreams.find(UpstreamId(Id))->OpenFlows, 0U);
+  const uint64_t Idle = open(2);
+  Time.advance(16s);
+  Steering.sweep();
+  EXPECT_EQ(Upstreams.find(UpstreamId(Idle))->OpenFlows, 0U);
+  EXPECT_EQ(Steering.flows(), 0U);
+}
+
+TEST_F(FlowSteeringTest, AStartingUpstreamGetsFewerFlows) {
+  UpstreamRegistration Cold = registration(14, "chat", "a");
+  Cold.WarmupLeft = 2s;
+  Upstreams.put(Cold, ++Revision, Time.now());
+  std::map<uint64_t, int> Count;
+  for (uint16_t Port = 1; Port <= 100; ++Port)
+    ++Count[idOf(Steering.steer(opening(Port)))];
+  EXPECT_EQ(Count[14], 20);
+}
+
+// Every action and reason has a name, for the log.
+TEST(SteeringNames, AllHaveOne) {
+  for (size_t Index = 0; Index < SteeringReasons; ++Index)
+    EXPECT_FALSE(nameOf(static_cast<SteeringReason>(Index)).empty());
+  EXPECT_EQ(nameOf(SteeringReason::AddressReused), "address-reused");
+  EXPECT_EQ(nameOf(SteeringAction::Drop), "drop");
+}
+
+} // namespace
+} // namespace indigopoint
--- /dev/null
+++ b/tests/forwarder_settings_test.cpp
@@ -0,0 +1,55 @@
+#include "forwarder_settings.h"
+
+#include <gtest/gtest.h>
+
+namespace indigopoint {
+namespace {
+
+const std::string Minimal =
+    R"("name":"lim-a-1","zone":"lim-a","dataAddress":"10.1.0.1:8172",)"
+    R"("readyAddress":"10.1.0.1:8167","store":"10.200.1.7:8169")";
+
+std::vector<SettingsError> errorsOf(const std::string &Members) {
+  ForwarderSettings Settings;
+  return parseForwarderSettings("{" + Members + "}", "s.json", Settings);
+}
+
+TEST(ForwarderSettings, AllKeysAreRead) {
+  ForwarderSettings Got;
+  const auto Errors = parseForwarderSettings("{" + Minimal + R"(, // a comment
+        "peerAddress": "10.1.0.1:8166", "seeds": ["10.2.0.1:8166"],
+        "metricsAddress": "10.1.0.1:7720",
+        "maxStoreAgeMs": 4000.0, "changeBoundMs": 2500, "stopLimitS": 6.5})",
+                                             "s.json", Got);
+  ASSERT_TRUE(Errors.empty()) << toString(Errors[0]);
+  EXPECT_EQ(Got.Name, "lim-a-1");
+  EXPECT_EQ(Got.Zone, "lim-a");
+  EXPECT_EQ(toString(Got.DataAddress), "10.1.0.1:8172");
+  EXPECT_EQ(toString(Got.ReadyAddress), "10.1.0.1:8167");
+  EXPECT_EQ(toString(Got.Store), "10.200.1.7:8169");
+  EXPECT_EQ(toString(Got.PeerAddress), "10.1.0.1:8166");
+  EXPECT_EQ(Got.Seeds.size(), 1U);
+  EXPECT_EQ(toString(Got.MetricsAddress), "10.1.0.1:7720");
+  EXPECT_EQ(Got.MaxStoreAge, std::chrono::seconds(4));
+  EXPECT_EQ(Got.ChangeBound, std::chrono::milliseconds(2500));
+  EXPECT_EQ(Got.StopLimit, std::chrono::milliseconds(6500));
+}
+
+TEST(ForwarderSettings, EachFaultNamesItsSpotAndRemedy) {
+  EXPECT_TRUE(errorsOf(Minimal).empty());
+  const auto Errors =
+      errorsOf(Minimal + R"(,"maxStoreAgeMs":1,"stopLimitS":-1,"sore":1)");
+  ASSERT_EQ(Errors.size(), 3U);
+  EXPECT_EQ(Errors[0].Pointer, "/maxStoreAgeMs");
+  EXPECT_EQ(Errors[1].Pointer, "/stopLimitS");
+  EXPECT_EQ(toString(Errors[2]),
+            "s.json: /sore: found an unknown key; remove it, or use the "
+            "nearest known key \"store\"");
+}
+
+TEST(ForwarderSettings, RequiredKeysAreAskedFor) {
+  EXPECT_EQ(errorsOf("").size(), 5U);
+}
+
+} // namespace
+} // namespace indigopoint
--- a/tests/home_fixture.h
+++ b/tests/home_fixture.h
@@ -7,16 +7,11 @@
 
 #include "blackboard.h"
 #include "flow_controller.h"
+#include "manual_clock.h"
 #include "peer_link.h"
 
 namespace indigopoint {
 
-class FakeClock : public Clock {
-public:
-  TimePoint now() const override { return Now; }
-  TimePoint Now{std::chrono::seconds(1000)};
-};
-
 /// A home instance alone: the test plays owners, callers and the controllers
 /// that write the rest of the blackboard.
 class HomeRig {
@@ -211,7 +206,7 @@
 
   ServiceMetrics &stats() { return Board.Stats.Services["andina/chat-core"]; }
 
-  FakeClock Time;
+  ManualClock Time;
   ActionSink Sink;
   Blackboard Board;
   PeerLink Peers;
--- a/tests/owner_fixture.h
+++ b/tests/owner_fixture.h
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include "blackboard.h"
+#include "manual_clock.h"
 #include "peer_link.h"
 #include "upstream_controller.h"
 
@@ -15,12 +16,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-class FakeClock : public Clock {
-public:
-  TimePoint now() const override { return Now; }
-  TimePoint Now = TimePoint() + std::chrono::hours(1);
-};
-
 /// An upstream controller alone, with one home instance that submits and one
 /// sibling owner. Time passes only by the calls of the test.
 class OwnerTest : public ::testing::Test {
@@ -197,7 +192,7 @@
         Sent.push_back(std::move(*Out));
   }
 
-  FakeClock Time;
+  ManualClock Time;
   Blackboard Board;
   PeerLink Peers;
   std::unique_ptr<UpstreamController> Owner;
--- /dev/null
+++ b/tests/peer_exchange_test.cpp
@@ -0,0 +1,146 @@
+#include "peer_exchange.h"
+
+#include <random>
+
+#include <gtest/gtest.h>
+
+#include "loop_test_support.h"
+#include "manual_clock.h"
+
+namespace indigopoint {
+namespace {
+
+using namespace std::chrono_literals;
+
+// One instance that answers and one that asks, over loopback.
+class PeerExchangeTest : public testing::Test {
+protected:
+  struct Instance {
+    explicit Instance(EventLoop &Loop, Endpoint Address)
+        : Peers(Address, "a", {}, Time, Random), Http(Loop),
+          Exchange(Loop, Http, {Address, "a", 0s}, Peers, Mirror,
+                   [] { return 700ms; }) {}
+
+    ManualClock Time;
+    RandomSource Random{1};
+    PeerTable Peers;
+    HttpClient Http;
+    StoreMirror Mirror;
+    PeerExchange Exchange;
+  };
+
+  // A port that nothing listens on now.
+  static Endpoint freePort(EventLoop &Loop) {
+    HttpServer Probe(Loop);
+    EXPECT_FALSE(Probe.open(AnyPort));
+    return Probe.address();
+  }
+
+  PeerExchangeTest()
+      : Teller(Loop, freePort(Loop)), Asker(Loop, {0x7f000001, 9}) {}
+
+  StoreResult ask(uint64_t After, Duration Wait) {
+    StoreResult Got;
+    bool Done = false;
+    Asker.Exchange.ask(Address(), After, Wait, 2s, [&](StoreResult Result) {
+      Got = std::move(Result);
+      Done = true;
+    });
+    EXPECT_TRUE(runUntil(Loop, [&] { return Done; }));
+    return Got;
+  }
+
+  Endpoint Address() { return TellerAddress; }
+
+  void SetUp() override {
+    TellerAddress = freePort(Loop);
+    TellerExchange = std::make_unique<PeerExchange>(
+        Loop, Teller.Http, PeerNews{TellerAddress, "a", 0s}, Teller.Peers,
+        Teller.Mirror, [] { return 700ms; });
+    ASSERT_FALSE(TellerExchange->open());
+  }
+
+  EventLoop Loop;
+  Instance Teller;
+  Instance Asker;
+  Endpoint TellerAddress;
+  std::unique_ptr<PeerExchange> TellerExchange;
+};
+
+TEST_F(PeerExchangeTest, AnInstanceThatKnowsNothingSaysSo) {
+  EXPECT_EQ(ask(0, 0s).What, StoreResult::Status::Failed);
+  // Who asked is known all the same.
+  EXPECT_EQ(Teller.Peers.size(), 1U);
+}
+
+TEST_F(PeerExchangeTest, AStartTakesAWholeCopyWithItsAge) {
+  Teller.Mirror.apply({true, {{"k", std::string("\0\xff", 2), 5, 4, false}}},
+                      9);
+  const StoreResult Got = ask(0, 0s);
+  ASSERT_EQ(Got.What, StoreResult::Status::Answered);
+  EXPECT_TRUE(Got.Complete);
+  EXPECT_EQ(Got.Revision, 9U);
+  EXPECT_EQ(Got.Age, 700ms);
+  ASSERT_EQ(Got.Items.size(), 1U);
+  EXPECT_EQ(Got.Items[0].Value, std::string("\0\xff", 2));
+  EXPECT_EQ(Asker.Peers.size(), 1U);
+}
+
+TEST_F(PeerExchangeTest, AChangeAnswersAQuestionThatWaits) {
+  Teller.Mirror.apply({true, {}}, 9);
+  bool Done = false;
+  StoreResult Got;
+  Asker.Exchange.ask(Address(), 9, 5s, 5s, [&](StoreResult Result) {
+    Got = std::move(Result);
+    Done = true;
+  });
+  runUntil(Loop, [&] { return Teller.Peers.size() == 1; });
+  EXPECT_FALSE(Done);
+  Teller.Mirror.apply({false, {{"k", "v", 10, 10, false}}}, 10);
+  TellerExchange->notify();
+  ASSERT_TRUE(runUntil(Loop, [&] { return Done; }));
+  EXPECT_FALSE(Got.Complete);
+  EXPECT_EQ(Got.Items.size(), 1U);
+}
+
+TEST_F(PeerExchangeTest, AQuestionWaitsNoLongerThanAsked) {
+  Teller.Mirror.apply({true, {}}, 9);
+  const StoreResult Got = ask(9, 50ms);
+  EXPECT_EQ(Got.What, StoreResult::Status::Answered);
+  EXPECT_TRUE(Got.Items.empty());
+}
+
+TEST(PeerCodec, RefusesWhatItCannotRead) {
+  EXPECT_FALSE(decodePeerQuestion({}));
+  EXPECT_FALSE(decodePeerQuestion({{"after", "x"},
+                                   {"wait_ms", "1"},
+                                   {"from", "1.2.3.4:5"},
+                                   {"zone", "a"}}));
+  EXPECT_FALSE(decodePeerQuestion({{"after", "1"},
+                                   {"wait_ms", "99999999"},
+                                   {"from", "1.2.3.4:5"},
+                                   {"zone", "a"}}));
+  EXPECT_TRUE(decodePeerQuestion({{"after", "1"},
+                                  {"wait_ms", "1"},
+                                  {"from", "1.2.3.4:5"},
+                                  {"zone", "a"}}));
+}
+
+TEST(PeerCodec, DamagedAnswersDoNoHarm) {
+  PeerAnswer Answer;
+  Answer.Changes.Revision = 7;
+  Answer.Changes.Items = {{"key", "value", 3, 2, false}};
+  Answer.Peers = {{{1, 2}, "a", 3s}};
+  const std::string Good = encodePeerAnswer(Answer);
+  ASSERT_TRUE(decodePeerAnswer(Good));
+  std::mt19937 Random(5);
+  for (int Round = 0; Round < 5000; ++Round) {
+    std::string Damaged = Good.substr(0, Random() % (Good.size() + 1));
+    if (!Damaged.empty())
+      Damaged[Random() % Damaged.size()] = static_cast<char>(Random());
+    decodePeerAnswer(Damaged);
+  }
+}
+
+} // namespace
+} // namespace indigopoint
--- /dev/null
+++ b/tests/store_beliefs_test.cpp
@@ -0,0 +1,96 @@
+#include "store_beliefs.h"
+
+#include <gtest/gtest.h>
+
+#include "manual_clock.h"
+
+namespace indigopoint {
+namespace {
+
+// Items whose key says what they are: "u1" registers upstream 1, "bad1" is its
+// unreadable registration, "c7" is a configuration of version 7.
+StoreFact decode(const StoreItem &Item) {
+  const std::string &Key = Item.Key;
+  if (Key.starts_with("bad"))
+    return ItemUnreadable{"broken", UpstreamId(std::stoul(Key.substr(3)))};
+  const uint64_t Number = std::stoul(Key.substr(1));
+  if (Key[0] == 'c')
+    return RouteConfiguration{ConfigVersion(Number), {}, {}};
+  if (Item.Deleted)
+    return UpstreamGone{UpstreamId(Number)};
+  UpstreamRegistration Out;
+  Out.Id = UpstreamId(Number);
+  Out.Service = "chat";
+  return Out;
+}
+
+class StoreBeliefsTest : public testing::Test {
+protected:
+  void apply(bool Complete, const std::vector<std::string> &Keys,
+             bool Deleted = false) {
+    StoreSync::Update Update;
+    Update.Complete = Complete;
+    for (const std::string &Key : Keys)
+      Update.Items.push_back({Key, "", ++Revision, Revision, Deleted});
+    Beliefs.apply(Update);
+  }
+
+  size_t lines(const std::string &Event) const {
+    size_t Count = 0;
+    const std::string Text(Log.pending());
+    for (size_t At = Text.find("\"event\":\"" + Event); At != Text.npos;
+         At = Text.find("\"event\":\"" + Event, At + 1))
+      ++Count;
+    return Count;
+  }
+
+  ManualClock Time;
+  EventLog Log{{}, Time};
+  RouteTable Routes;
+  UpstreamRegistry Upstreams;
+  StoreBeliefs Beliefs{decode, Time, Log, Routes, Upstreams};
+  uint64_t Revision = 0;
+};
+
+TEST_F(StoreBeliefsTest, EachChangeOfABeliefIsLoggedOnce) {
+  apply(true, {"u1", "u2", "c7"});
+  EXPECT_EQ(lines("upstream-changed"), 2U);
+  EXPECT_EQ(lines("configuration-applied"), 1U);
+  apply(false, {"c5"});
+  EXPECT_EQ(lines("configuration-ignored"), 1U);
+  EXPECT_EQ(Routes.version(), ConfigVersion(7));
+}
+
+TEST_F(StoreBeliefsTest, ASnapshotRemovesUpstreamsThatItDoesNotHold) {
+  apply(true, {"u1", "u2"});
+  apply(true, {"u2"});
+  EXPECT_EQ(Upstreams.find(UpstreamId(1))->State, UpstreamState::Unregistered);
+  EXPECT_EQ(Upstreams.find(UpstreamId(2))->State, UpstreamState::Ready);
+  EXPECT_EQ(lines("upstream-changed"), 4U);
+}
+
+TEST_F(StoreBeliefsTest, AChangeAloneRemovesNothing) {
+  apply(true, {"u1", "u2"});
+  apply(false, {"u3"});
+  EXPECT_EQ(Upstreams.count(UpstreamState::Ready), 3U);
+}
+
+// An entry of another writer names no upstream to use; the others hold.
+TEST_F(StoreBeliefsTest, AnUnreadableEntryTakesItsUpstreamOutOfUse) {
+  apply(true, {"u1", "u2"});
+  apply(false, {"bad1"});
+  EXPECT_EQ(Upstreams.find(UpstreamId(1))->State, UpstreamState::Unregistered);
+  EXPECT_EQ(Upstreams.find(UpstreamId(2))->State, UpstreamState::Ready);
+  EXPECT_EQ(lines("entry-unreadable"), 1U);
+  apply(false, {"u1"});
+  EXPECT_EQ(Upstreams.find(UpstreamId(1))->State, UpstreamState::Ready);
+}
+
+TEST_F(StoreBeliefsTest, ADeletionTakesAnUpstreamOutOfUse) {
+  apply(true, {"u1"});
+  apply(false, {"u1"}, true);
+  EXPECT_EQ(Upstreams.find(UpstreamId(1))->State, UpstreamState::Unregistered);
+}
+
+} // namespace
+} // namespace indigopoint
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -32,26 +32,33 @@
     return {Key, "value", Revision, Revision, false};
   }
 
+  // Starts a call if one is due.
+  std::optional<StoreQuery> next(const SyncSource &Source = {{}, 3s}) {
+    if (!Sync.isDue())
+      return std::nullopt;
+    return Sync.start(Source);
+  }
+
   void takeSnapshot() {
-    ASSERT_TRUE(Sync.next());
+    ASSERT_TRUE(next());
     ASSERT_TRUE(Sync.onResult(answered(10, {item("a", 5)})));
   }
 
   // Advances to the next call.
   StoreQuery nextCall() {
     Time.advance(std::max(Duration(), Sync.wakeAt() - Time.now()));
-    const auto Query = Sync.next();
+    const auto Query = next();
     EXPECT_TRUE(Query);
     return Query.value_or(StoreQuery());
   }
 
   ManualClock Time;
   RandomSource Random{1};
-  StoreSync Sync{{4s}, Time, Random};
+  StoreSync Sync{Time, Random};
 };
 
 TEST_F(StoreSyncTest, StartsWithASnapshotAndWatchesFromItsRevision) {
-  const auto First = Sync.next();
+  const auto First = next();
   ASSERT_TRUE(First);
   EXPECT_EQ(First->What, StoreQuery::Kind::Snapshot);
   const auto Update = Sync.onResult(answered(10, {item("a", 5)}));
@@ -65,7 +72,7 @@
 // Pages are read one after another while keys change. A change between two
 // pages must not be missed.
 TEST_F(StoreSyncTest, WatchesFromTheRevisionOfTheFirstPage) {
-  ASSERT_TRUE(Sync.next());
+  ASSERT_TRUE(next());
   StoreResult First = answered(10, {item("a", 5)});
   First.HasMore = true;
   EXPECT_FALSE(Sync.onResult(First));
@@ -77,11 +84,11 @@
   EXPECT_EQ(nextCall().AfterRevision, 10U);
 }
 
-// A connection that went silent shows by nothing but time. The watch must be
-// renewed before what it would have told is too old.
-TEST_F(StoreSyncTest, AWatchEndsWithinTheAgeOfABelief) {
+// A connection that went silent shows by nothing but time.
+TEST_F(StoreSyncTest, AWatchTimesOutSoonAfterItsWait) {
   takeSnapshot();
   const StoreQuery Watch = nextCall();
+  EXPECT_EQ(Watch.Wait, 3s);
   EXPECT_LE(Watch.Timeout, 4s);
   EXPECT_LT(Watch.Wait, Watch.Timeout);
 }
@@ -97,7 +104,7 @@
   takeSnapshot();
   nextCall();
   ASSERT_TRUE(Sync.onResult(answered(11, {item("a", 11)})));
-  EXPECT_FALSE(Sync.next());
+  EXPECT_FALSE(next());
   EXPECT_GT(Sync.wakeAt(), Time.now());
   EXPECT_LE(Sync.wakeAt() - Time.now(), 1s);
 }
@@ -135,13 +142,68 @@
   nextCall();
   Sync.onResult(failed(StoreResult::Status::Failed));
   Time.advance(Sync.wakeAt() - Time.now() - 5ms);
-  EXPECT_TRUE(Sync.next());
+  EXPECT_TRUE(next());
+}
+
+// A peer that lags must not take back what is known: versions never revert.
+TEST_F(StoreSyncTest, APeerThatKnowsLessChangesNothing) {
+  takeSnapshot();
+  ASSERT_TRUE(next({Endpoint{1, 1}, 0s}));
+  StoreResult Old = answered(9, {item("a", 4)});
+  Old.Complete = true;
+  EXPECT_FALSE(Sync.onResult(Old));
+  EXPECT_EQ(Sync.revision(), 10U);
+}
+
+// A belief is as old as the store's word behind it, however many instances
+// passed it on.
+TEST_F(StoreSyncTest, APeersAnswerIsAsOldAsItSays) {
+  takeSnapshot();
+  Time.advance(5s);
+  ASSERT_TRUE(next({Endpoint{1, 1}, 0s}));
+  StoreResult Told = answered(12, {item("a", 12)});
+  Told.Age = 2s;
+  ASSERT_TRUE(Sync.onResult(Told));
+  EXPECT_EQ(Time.now() - Sync.confirmedAt(), 2s);
+}
+
+// Seen when a zone was cut off: an instance that started there had no
+// configuration until the cut was over.
+TEST_F(StoreSyncTest, AStartWithoutTheStoreLearnsFromAPeer) {
+  nextCall();
+  Sync.onResult(failed(StoreResult::Status::Failed));
+  Time.advance(Sync.wakeAt() - Time.now());
+  ASSERT_TRUE(next({Endpoint{1, 1}, 0s}));
+  StoreResult Told = answered(12, {item("a", 12)});
+  Told.Complete = true;
+  const auto Update = Sync.onResult(Told);
+  ASSERT_TRUE(Update);
+  EXPECT_TRUE(Update->Complete);
+  EXPECT_TRUE(Sync.isSynced());
+  EXPECT_EQ(nextCall().AfterRevision, 12U);
+}
+
+// The pages of a snapshot that the store broke off do not mix with a peer's.
+TEST_F(StoreSyncTest, APeersSnapshotReplacesPagesOfTheStore) {
+  nextCall();
+  StoreResult First = answered(10, {item("gone", 5)});
+  First.HasMore = true;
+  Sync.onResult(First);
+  nextCall();
+  Sync.onResult(failed(StoreResult::Status::Failed));
+  Time.advance(Sync.wakeAt() - Time.now());
+  ASSERT_TRUE(next({Endpoint{1, 1}, 0s}));
+  StoreResult Told = answered(12, {item("a", 12)});
+  Told.Complete = true;
+  const auto Update = Sync.onResult(Told);
+  ASSERT_TRUE(Update);
+  EXPECT_EQ(Update->Items.size(), 1U);
 }
 
 TEST_F(StoreSyncTest, OneCallIsUnderWayAtATime) {
-  ASSERT_TRUE(Sync.next());
+  ASSERT_TRUE(next());
   Time.advance(10s);
-  EXPECT_FALSE(Sync.next());
+  EXPECT_FALSE(next());
 }
 
 } // namespace
