Keep packets until the first configuration is there

Ruled out: the time to start itself (the first packet is steered 20 ms after the process runs).

Change: the data socket is bound at once and read once a configuration is in force, or after 400 ms.

--- a/bench/test_bed.h
+++ b/bench/test_bed.h
@@ -7,6 +7,7 @@
 #include "event_loop.h"
 #include "http_server.h"
 #include "udp_endpoint.h"
+#include "wire_codec.h"
 
 namespace indigopoint {
 
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -28,6 +28,10 @@
 constexpr Duration QuietTime = std::chrono::milliseconds(200);
 constexpr Duration QuietCheckPeriod = std::chrono::milliseconds(50);
 
+// Packets that arrive while the first configuration is on its way wait this
+// long. Clients repeat after 200 ms, and most give up after 500 ms.
+constexpr Duration HoldTime = std::chrono::milliseconds(400);
+
 // Left of the limit of a planned stop when the process ends.
 constexpr Duration StopMargin = std::chrono::milliseconds(500);
 
@@ -55,6 +59,7 @@
         StopHook OnStop);
 
   std::string start();
+  void startReceiving();
   void receive(std::string_view Datagram);
   void sendReset(const PacketHeader &Packet);
   void logDecision(const PacketHeader &Packet,
@@ -80,6 +85,8 @@
   HttpServer Ready;
   LoopEvent MaintenanceTimer;
   LoopEvent StopTimer;
+  LoopEvent HoldTimer;
+  bool Receiving = false;
   TimePoint SweptAt{};
   TimePoint LastPacket{};
   TimePoint StopStarted{};
@@ -92,9 +99,11 @@
       OnStop(std::move(OnStop)), Log({this->Settings.Name}, Time),
       Steering({this->Settings.Zone}, Time, Routes, Upstreams),
       Beliefs(this->Protocol.DecodeFact, Time, Log, Routes, Upstreams),
-      Follower(
-          Loop, this->Settings, this->Protocol.Store, Time, Log,
-          [this](const StoreSync::Update &Update) { Beliefs.apply(Update); }),
+      Follower(Loop, this->Settings, this->Protocol.Store, Time, Log,
+               [this](const StoreSync::Update &Update) {
+                 Beliefs.apply(Update);
+                 startReceiving();
+               }),
       Data(this->Protocol.MaxPacketBytes), Ready(Loop) {}
 
 std::string Forwarder::State::start() {
@@ -105,6 +114,9 @@
   if (const auto Error = Data.open(Loop, Settings.DataAddress, OnReceive))
     return "cannot bind " + toString(Settings.DataAddress) + ": " +
            Error.message() + "; free this address or change /dataAddress";
+  Data.setReceiving(false);
+  HoldTimer =
+      LoopEvent::after(Loop, HoldTime, [this] { Data.setReceiving(true); });
   if (const auto Error = Ready.open(Settings.ReadyAddress))
     return "cannot listen on " + toString(Settings.ReadyAddress) + ": " +
            Error.message() + "; free this address or change /readyAddress";
@@ -127,6 +139,14 @@
   return {};
 }
 
+void Forwarder::State::startReceiving() {
+  if (Receiving || !Routes.isLoaded())
+    return;
+  Receiving = true;
+  HoldTimer = LoopEvent();
+  Data.setReceiving(true);
+}
+
 void Forwarder::State::receive(std::string_view Datagram) {
   Time.refresh();
   PacketHeader Packet;
--- a/src/udp_endpoint.cpp
+++ b/src/udp_endpoint.cpp
@@ -82,6 +82,7 @@
   const size_t ReceiveBytes;
   int Socket = -1;
   Endpoint Bound;
+  EventLoop *Loop = nullptr;
   LoopEvent Readable;
   ReceiveHook OnReceive;
   Counters Count;
@@ -165,11 +166,18 @@
   if (const std::error_code Error = S->bindTo(Address))
     return Error;
   S->OnReceive = std::move(OnReceive);
-  S->Readable = LoopEvent::onReadable(Loop, S->Socket,
-                                      [State = S.get()] { State->receive(); });
+  S->Loop = &Loop;
+  setReceiving(true);
   return {};
 }
 
+void UdpEndpoint::setReceiving(bool Receiving) {
+  S->Readable =
+      Receiving ? LoopEvent::onReadable(*S->Loop, S->Socket,
+                                        [State = S.get()] { State->receive(); })
+                : LoopEvent();
+}
+
 Endpoint UdpEndpoint::address() const { return S->Bound; }
 
 std::string &UdpEndpoint::nextBuffer() {
--- a/src/udp_endpoint.h
+++ b/src/udp_endpoint.h
@@ -35,6 +35,10 @@
   std::error_code open(EventLoop &Loop, Endpoint Address,
                        ReceiveHook OnReceive);
 
+  /// Stops or starts receiving. Meanwhile the system keeps what arrives, as
+  /// far as its buffer goes.
+  void setReceiving(bool Receiving);
+
   /// The bound address.
   Endpoint address() const;
 
