Serve metrics and the state of a forwarder

Cause: from outside nothing told what a forwarder decides and believes, but its log.

Change: SteeringMetrics counts each decision under its action and reason, and new flows, silent openings and open latencies by service (Boost.Histogram); prometheus-cpp writes the text format. /metrics and /status on the address of the settings. A silence is logged with its flow. Tests over loopback.

Not measured: the cost of a scrape.

--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -25,7 +25,6 @@
     "upstream-changed",
     "entry-unreadable",
     "upstream-silent",
-    "upstream-answered",
     "flow-opened",
     "flow-moved",
     "flow-adopted",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -28,7 +28,6 @@
   UpstreamChanged,
   EntryUnreadable,
   UpstreamSilent,
-  UpstreamAnswered,
   FlowOpened,
   FlowMoved,
   FlowAdopted,
@@ -37,7 +36,7 @@
   LinesSuppressed
 };
 
-constexpr size_t LogEvents = 20;
+constexpr size_t LogEvents = 19;
 
 std::string_view nameOf(LogEvent Value);
 
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -1,7 +1,6 @@
 #include "flow_steering.h"
 
 #include <algorithm>
-#include <array>
 #include <tuple>
 
 #include "placement.h"
@@ -10,32 +9,32 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 3> ActionNames = {"forward", "reset",
-                                                         "drop"};
-constexpr std::array<std::string_view, SteeringReasons> ReasonNames = {
-    "new-flow",    "repeated-opening", "moved-opening", "known-flow",
-    "tagged-flow", "no-configuration", "no-route",      "route-removed",
-    "no-upstream", "unknown-tag",      "address-reused"};
-
 // Sequence numbers wrap around.
 bool isAfter(uint32_t A, uint32_t B) { return static_cast<int32_t>(A - B) > 0; }
 
 } // namespace
 
-std::string_view nameOf(SteeringAction Value) {
-  return ActionNames.at(static_cast<size_t>(Value));
+SteeringDecision FlowSteering::steer(const PacketHeader &Packet) {
+  Flows.expireOpenings(Time.now(),
+                       [this](const FlowAddress &Address, SteeredFlow &Flow) {
+                         noteSilence(Address, Flow);
+                       });
+  const SteeringDecision Decision = decide(Packet);
+  Metrics.countDecision(Decision);
+  return Decision;
 }
 
-std::string_view nameOf(SteeringReason Value) {
-  return ReasonNames.at(static_cast<size_t>(Value));
+void FlowSteering::noteSilence(const FlowAddress &Address,
+                               const SteeredFlow &Flow) {
+  Upstream *Silent = Upstreams.find(Flow.Upstream);
+  if (Silent == nullptr)
+    return;
+  Silent->Reach.noteSilence(Time.now());
+  ++Metrics.service(Silent->Registration.Service).Silent;
+  OnSilence(Address, *Silent);
 }
 
-SteeringDecision FlowSteering::steer(const PacketHeader &Packet) {
-  const TimePoint Now = Time.now();
-  Flows.expireOpenings(Now, [&](const FlowAddress &, SteeredFlow &Flow) {
-    if (Upstream *Silent = Upstreams.find(Flow.Upstream))
-      Silent->Reach.noteSilence(Now);
-  });
+SteeringDecision FlowSteering::decide(const PacketHeader &Packet) {
   // Without a configuration nothing is known of any flow, so open flows must
   // not be reset.
   if (!Routes.isLoaded())
@@ -97,6 +96,9 @@
     Flows.expectOpening(Packet.Flow, Now + OpenTimeout);
     To->Reach.noteTrial(Now);
   }
+  ServiceFlowMetrics &Service = Metrics.service(To->Registration.Service);
+  ++(To->Registration.Zone == Given.Zone ? Service.OpenedInZone
+                                         : Service.OpenedInOtherZones);
   return forward(Moved ? SteeringReason::MovedOpening : SteeringReason::NewFlow,
                  *To);
 }
@@ -182,8 +184,13 @@
   const TimePoint Now = Time.now();
   Flow.LastSeen = Now;
   const bool Opened = Flow.State == SteeredFlow::Phase::Opening;
-  if (Opened)
+  if (Opened) {
     setPhase(Flow, SteeredFlow::Phase::Open);
+    ServiceFlowMetrics &Service = Metrics.service(To.Registration.Service);
+    const Duration Latency = Now - Flow.OpenedAt;
+    Service.OpenLatency(static_cast<double>(Latency.count()));
+    Service.OpenLatencySum += Latency;
+  }
   if (Opened || isAfter(Packet.Acknowledged, Flow.Acknowledged)) {
     Flow.Acknowledged = Packet.Acknowledged;
     To.Reach.noteAnswer(Now);
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -1,56 +1,18 @@
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include "clock.h"
 #include "packet.h"
 #include "route_table.h"
+#include "steering_decision.h"
 #include "steering_flows.h"
+#include "steering_metrics.h"
 #include "upstream_registry.h"
 
 namespace indigopoint {
 
-enum class SteeringAction : uint8_t { Forward, Reset, Drop };
-
-/// Why a packet went where it went.
-enum class SteeringReason : uint8_t {
-  /// An upstream was chosen for a new flow.
-  NewFlow,
-  /// A copy of an opening packet follows the first one.
-  RepeatedOpening,
-  /// The upstream of an earlier copy did not answer; another one was chosen.
-  MovedOpening,
-  /// A packet of a flow known here.
-  KnownFlow,
-  /// A packet of a flow that came from another instance; its tag tells the
-  /// upstream.
-  TaggedFlow,
-  /// No configuration is in force yet.
-  NoConfiguration,
-  /// No route stands for the address; the client is told to try elsewhere.
-  NoRoute,
-  /// The route of an open flow was removed.
-  RouteRemoved,
-  /// A new flow finds no upstream that takes it.
-  NoUpstream,
-  /// The tag stands for no upstream known here.
-  UnknownTag,
-  /// The upstream is gone and its address belongs to another one.
-  AddressReused
-};
-
-constexpr size_t SteeringReasons = 11;
-
-std::string_view nameOf(SteeringAction Value);
-std::string_view nameOf(SteeringReason Value);
-
-struct SteeringDecision {
-  SteeringAction Action = SteeringAction::Drop;
-  SteeringReason Reason = SteeringReason::NoConfiguration;
-  /// Set when the packet is forwarded.
-  const Upstream *To = nullptr;
-};
-
 /// Decides where packets of clients go. Answers go from the upstream to the
 /// client directly, so only the clients' packets are seen.
 class FlowSteering {
@@ -59,10 +21,15 @@
     std::string Zone;
   };
 
+  /// Called when an opening packet of a flow found no answer in time.
+  using SilenceHook = std::function<void(const FlowAddress &, Upstream &)>;
+
   FlowSteering(Settings Given, const Clock &Time, RouteTable &Routes,
-               UpstreamRegistry &Upstreams)
+               UpstreamRegistry &Upstreams, SteeringMetrics &Metrics,
+               SilenceHook OnSilence)
       : Given(std::move(Given)), Time(Time), Routes(Routes),
-        Upstreams(Upstreams) {}
+        Upstreams(Upstreams), Metrics(Metrics),
+        OnSilence(std::move(OnSilence)) {}
 
   SteeringDecision steer(const PacketHeader &Packet);
 
@@ -72,6 +39,8 @@
   size_t flows() const { return Flows.size(); }
 
 private:
+  SteeringDecision decide(const PacketHeader &Packet);
+  void noteSilence(const FlowAddress &Address, const SteeredFlow &Flow);
   SteeringDecision steerOpening(const PacketHeader &Packet, SteeredFlow *Flow);
   SteeringDecision steerLater(const PacketHeader &Packet, SteeredFlow *Flow);
   SteeringDecision openFlow(const PacketHeader &Packet, const Route &Via,
@@ -91,6 +60,8 @@
   const Clock &Time;
   RouteTable &Routes;
   UpstreamRegistry &Upstreams;
+  SteeringMetrics &Metrics;
+  SilenceHook OnSilence;
   SteeredFlows Flows;
 };
 
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -6,6 +6,7 @@
 
 #include "event_loop.h"
 #include "flow_steering.h"
+#include "forwarder_report.h"
 #include "http_server.h"
 #include "steady_clock.h"
 #include "udp_endpoint.h"
@@ -59,6 +60,9 @@
         StopHook OnStop);
 
   std::string start();
+  std::string openReport();
+  ForwarderView view() const;
+  void logSilence(const FlowAddress &Flow, const Upstream &Silent);
   void startReceiving();
   void receive(std::string_view Datagram);
   void sendReset(const PacketHeader &Packet);
@@ -78,15 +82,18 @@
   EventLog Log;
   RouteTable Routes;
   UpstreamRegistry Upstreams;
+  SteeringMetrics Metrics;
   FlowSteering Steering;
   StoreBeliefs Beliefs;
   StoreFollower Follower;
   UdpEndpoint Data;
   HttpServer Ready;
+  HttpServer Report;
   LoopEvent MaintenanceTimer;
   LoopEvent StopTimer;
   LoopEvent HoldTimer;
   bool Receiving = false;
+  uint64_t NotPackets = 0;
   TimePoint SweptAt{};
   TimePoint LastPacket{};
   TimePoint StopStarted{};
@@ -97,14 +104,17 @@
                         ForwarderProtocol Protocol, StopHook OnStop)
     : Loop(Loop), Settings(std::move(Settings)), Protocol(std::move(Protocol)),
       OnStop(std::move(OnStop)), Log({this->Settings.Name}, Time),
-      Steering({this->Settings.Zone}, Time, Routes, Upstreams),
+      Steering({this->Settings.Zone}, Time, Routes, Upstreams, Metrics,
+               [this](const FlowAddress &Flow, const Upstream &Silent) {
+                 logSilence(Flow, Silent);
+               }),
       Beliefs(this->Protocol.DecodeFact, Time, Log, Routes, Upstreams),
       Follower(Loop, this->Settings, this->Protocol.Store, Time, Log,
                [this](const StoreSync::Update &Update) {
                  Beliefs.apply(Update);
                  startReceiving();
                }),
-      Data(this->Protocol.MaxPacketBytes), Ready(Loop) {}
+      Data(this->Protocol.MaxPacketBytes), Ready(Loop), Report(Loop) {}
 
 std::string Forwarder::State::start() {
   Time.refresh();
@@ -124,6 +134,8 @@
               [this](const HttpRequest &, const HttpServer::Respond &Answer) {
                 Answer({isReady() ? 200 : 503, "{}"});
               });
+  if (const std::string Problem = openReport(); !Problem.empty())
+    return Problem;
   Log.write(LogEvent::Started, [this] {
     return EventLog::Fields{{"version", Version},
                             {"zone", Settings.Zone},
@@ -139,6 +151,45 @@
   return {};
 }
 
+std::string Forwarder::State::openReport() {
+  if (Settings.MetricsAddress.Port == 0)
+    return {};
+  Report.route(
+      "GET", "/metrics",
+      [this](const HttpRequest &, const HttpServer::Respond &Answer) {
+        Time.refresh();
+        Answer({200, metricsText(view()), "text/plain; version=0.0.4"});
+      });
+  Report.route("GET", "/status",
+               [this](const HttpRequest &, const HttpServer::Respond &Answer) {
+                 Time.refresh();
+                 Answer({200, forwarderStatus(view())});
+               });
+  if (const auto Error = Report.open(Settings.MetricsAddress))
+    return "cannot listen on " + toString(Settings.MetricsAddress) + ": " +
+           Error.message() + "; free this address or change /metricsAddress";
+  return {};
+}
+
+ForwarderView Forwarder::State::view() const {
+  return {Metrics, Routes,           Upstreams,  Follower,
+          Log,     Steering.flows(), NotPackets, isReady()};
+}
+
+void Forwarder::State::logSilence(const FlowAddress &Flow,
+                                  const Upstream &Silent) {
+  Log.write(LogEvent::UpstreamSilent, [&] {
+    const UpstreamRegistration &Said = Silent.Registration;
+    EventLog::Fields Line = {{"flow", toString(Flow)},
+                             {"upstream", toHex(Said.Id)},
+                             {"service", Said.Service},
+                             {"zone", Said.Zone},
+                             {"state", nameOf(Silent.State)}};
+    Line.update(beliefs());
+    return Line;
+  });
+}
+
 void Forwarder::State::startReceiving() {
   if (Receiving || !Routes.isLoaded())
     return;
@@ -150,8 +201,10 @@
 void Forwarder::State::receive(std::string_view Datagram) {
   Time.refresh();
   PacketHeader Packet;
-  if (!Protocol.DecodePacket(Datagram, Packet))
+  if (!Protocol.DecodePacket(Datagram, Packet)) {
+    ++NotPackets;
     return;
+  }
   LastPacket = Time.now();
   const SteeringDecision Decision = Steering.steer(Packet);
   if (Decision.Action == SteeringAction::Forward) {
--- /dev/null
+++ b/src/forwarder_report.cpp
@@ -0,0 +1,171 @@
+#include "forwarder_report.h"
+
+#include <nlohmann/json.hpp>
+#include <prometheus/text_serializer.h>
+
+#include "version.h"
+
+namespace indigopoint {
+
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+double secondsOf(Duration Given) {
+  return std::chrono::duration<double>(Given).count();
+}
+
+class Families {
+public:
+  void counter(const std::string &Name, const std::string &Help,
+               std::vector<ClientMetric::Label> Labels, uint64_t Value) {
+    ClientMetric Metric;
+    Metric.label = std::move(Labels);
+    Metric.counter.value = static_cast<double>(Value);
+    add(Name, Help, MetricType::Counter, std::move(Metric));
+  }
+
+  void gauge(const std::string &Name, const std::string &Help,
+             std::vector<ClientMetric::Label> Labels, double Value) {
+    ClientMetric Metric;
+    Metric.label = std::move(Labels);
+    Metric.gauge.value = Value;
+    add(Name, Help, MetricType::Gauge, std::move(Metric));
+  }
+
+  void histogram(const std::string &Name, const std::string &Help,
+                 std::vector<ClientMetric::Label> Labels,
+                 const LatencyHistogram &Given, Duration Sum) {
+    ClientMetric Metric;
+    Metric.label = std::move(Labels);
+    uint64_t Count = static_cast<uint64_t>(Given.at(-1));
+    const auto &Axis = Given.axis();
+    for (int Index = 0; Index < Axis.size(); ++Index) {
+      Count += static_cast<uint64_t>(Given.at(Index));
+      Metric.histogram.bucket.push_back({Count, Axis.bin(Index).upper() / 1e6});
+    }
+    Count += static_cast<uint64_t>(Given.at(Axis.size()));
+    Metric.histogram.sample_count = Count;
+    Metric.histogram.sample_sum = secondsOf(Sum);
+    add(Name, Help, MetricType::Histogram, std::move(Metric));
+  }
+
+  std::string text() const {
+    return prometheus::TextSerializer().Serialize(All);
+  }
+
+private:
+  // Metrics of one family come one after another.
+  void add(const std::string &Name, const std::string &Help, MetricType Type,
+           ClientMetric Metric) {
+    if (All.empty() || All.back().name != Name)
+      All.push_back({Name, Help, Type, {}});
+    All.back().metric.push_back(std::move(Metric));
+  }
+
+  std::vector<MetricFamily> All;
+};
+
+void addDecisions(const ForwarderView &View, Families &Out) {
+  for (size_t Action = 0; Action < SteeringActions; ++Action)
+    for (size_t Reason = 0; Reason < SteeringReasons; ++Reason) {
+      const auto A = static_cast<SteeringAction>(Action);
+      const auto R = static_cast<SteeringReason>(Reason);
+      if (const uint64_t Count = View.Metrics.decisions(A, R))
+        Out.counter("indigopoint_packets_total", "Packets by decision.",
+                    {{"action", std::string(nameOf(A))},
+                     {"reason", std::string(nameOf(R))}},
+                    Count);
+    }
+  Out.counter("indigopoint_datagrams_refused_total",
+              "Datagrams that were no packet of a client.", {},
+              View.NotPackets);
+}
+
+void addServices(const ForwarderView &View, Families &Out) {
+  for (const auto &[Name, Service] : View.Metrics.services()) {
+    Out.counter("indigopoint_flows_opened_total", "New flows.",
+                {{"service", Name}, {"zone", "own"}}, Service.OpenedInZone);
+    Out.counter("indigopoint_flows_opened_total", "New flows.",
+                {{"service", Name}, {"zone", "other"}},
+                Service.OpenedInOtherZones);
+  }
+  for (const auto &[Name, Service] : View.Metrics.services())
+    Out.counter("indigopoint_openings_silent_total",
+                "Opening packets without a next packet in time.",
+                {{"service", Name}}, Service.Silent);
+  for (const auto &[Name, Service] : View.Metrics.services())
+    Out.histogram("indigopoint_open_seconds",
+                  "From an opening packet to the client's next one.",
+                  {{"service", Name}}, Service.OpenLatency,
+                  Service.OpenLatencySum);
+}
+
+void addBeliefs(const ForwarderView &View, Families &Out) {
+  Out.gauge("indigopoint_build_info", "Version of the program.",
+            {{"version", Version}}, 1);
+  Out.gauge("indigopoint_ready", "1 while it takes traffic.", {},
+            View.Ready ? 1 : 0);
+  Out.gauge("indigopoint_flows", "Flows whose packets passed lately.", {},
+            static_cast<double>(View.Flows));
+  Out.gauge("indigopoint_configuration_version", "Version in force.", {},
+            static_cast<double>(View.Routes.version().value()));
+  Out.gauge("indigopoint_store_age_seconds",
+            "Since the store last confirmed what is known.", {},
+            secondsOf(View.Follower.age()));
+  Out.gauge("indigopoint_store_failures", "Failed calls in a row.", {},
+            View.Follower.sync().failures());
+  Out.gauge("indigopoint_peers", "Other instances heard of lately.", {},
+            static_cast<double>(View.Follower.peers()));
+  for (const UpstreamState State :
+       {UpstreamState::Ready, UpstreamState::Draining,
+        UpstreamState::Unregistered})
+    Out.gauge("indigopoint_upstreams", "Upstreams by state.",
+              {{"state", std::string(nameOf(State))}},
+              static_cast<double>(View.Upstreams.count(State)));
+  const StoreFollower::Calls &Calls = View.Follower.calls();
+  Out.counter("indigopoint_calls_total", "Calls by target and result.",
+              {{"target", "store"}, {"result", "answered"}}, Calls.Store);
+  Out.counter("indigopoint_calls_total", "Calls by target and result.",
+              {{"target", "store"}, {"result", "failed"}}, Calls.StoreFailed);
+  Out.counter("indigopoint_calls_total", "Calls by target and result.",
+              {{"target", "peer"}, {"result", "answered"}}, Calls.Peer);
+  Out.counter("indigopoint_calls_total", "Calls by target and result.",
+              {{"target", "peer"}, {"result", "failed"}}, Calls.PeerFailed);
+  Out.counter("indigopoint_log_lines_suppressed_total",
+              "Log lines over the rate or size.", {}, View.Log.suppressed());
+}
+
+} // namespace
+
+std::string metricsText(const ForwarderView &View) {
+  Families Out;
+  addBeliefs(View, Out);
+  addDecisions(View, Out);
+  addServices(View, Out);
+  return Out.text();
+}
+
+std::string forwarderStatus(const ForwarderView &View) {
+  nlohmann::ordered_json Out = {
+      {"version", Version},
+      {"ready", View.Ready},
+      {"configuration", View.Routes.version().value()},
+      {"routes", View.Routes.size()},
+      {"revision", View.Follower.sync().revision()},
+      {"storeAgeMs", std::chrono::duration_cast<std::chrono::milliseconds>(
+                         View.Follower.age())
+                         .count()},
+      {"storeFailures", View.Follower.sync().failures()},
+      {"peers", View.Follower.peers()},
+      {"flows", View.Flows}};
+  for (const UpstreamState State :
+       {UpstreamState::Ready, UpstreamState::Draining,
+        UpstreamState::Unregistered})
+    Out["upstreams"][std::string(nameOf(State))] = View.Upstreams.count(State);
+  return Out.dump(2);
+}
+
+} // namespace indigopoint
--- /dev/null
+++ b/src/steering_decision.cpp
@@ -0,0 +1,26 @@
+#include "steering_decision.h"
+
+#include <array>
+
+namespace indigopoint {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> ActionNames = {"forward", "reset",
+                                                         "drop"};
+constexpr std::array<std::string_view, SteeringReasons> ReasonNames = {
+    "new-flow",    "repeated-opening", "moved-opening", "known-flow",
+    "tagged-flow", "no-configuration", "no-route",      "route-removed",
+    "no-upstream", "unknown-tag",      "address-reused"};
+
+} // namespace
+
+std::string_view nameOf(SteeringAction Value) {
+  return ActionNames.at(static_cast<size_t>(Value));
+}
+
+std::string_view nameOf(SteeringReason Value) {
+  return ReasonNames.at(static_cast<size_t>(Value));
+}
+
+} // namespace indigopoint
--- /dev/null
+++ b/src/steering_decision.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace indigopoint {
+
+struct Upstream;
+
+enum class SteeringAction : uint8_t { Forward, Reset, Drop };
+
+/// Why a packet went where it went.
+enum class SteeringReason : uint8_t {
+  /// An upstream was chosen for a new flow.
+  NewFlow,
+  /// A copy of an opening packet follows the first one.
+  RepeatedOpening,
+  /// The upstream of an earlier copy did not answer; another one was chosen.
+  MovedOpening,
+  /// A packet of a flow known here.
+  KnownFlow,
+  /// A packet of a flow that came from another instance; its tag tells the
+  /// upstream.
+  TaggedFlow,
+  /// No configuration is in force yet.
+  NoConfiguration,
+  /// No route stands for the address; the client is told to try elsewhere.
+  NoRoute,
+  /// The route of an open flow was removed.
+  RouteRemoved,
+  /// A new flow finds no upstream that takes it.
+  NoUpstream,
+  /// The tag stands for no upstream known here.
+  UnknownTag,
+  /// The upstream is gone and its address belongs to another one.
+  AddressReused
+};
+
+constexpr size_t SteeringActions = 3;
+constexpr size_t SteeringReasons = 11;
+
+std::string_view nameOf(SteeringAction Value);
+std::string_view nameOf(SteeringReason Value);
+
+struct SteeringDecision {
+  SteeringAction Action = SteeringAction::Drop;
+  SteeringReason Reason = SteeringReason::NoConfiguration;
+  /// Set when the packet is forwarded.
+  const Upstream *To = nullptr;
+};
+
+} // namespace indigopoint
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -59,6 +59,7 @@
   LoopEvent CallTimer;
   LoopEvent ContactTimer;
   Duration ContactPeriod = FirstContactPeriod;
+  Calls Made;
 };
 
 StoreFollower::State::State(EventLoop &Loop, const ForwarderSettings &Settings,
@@ -105,6 +106,9 @@
   const uint32_t FailuresBefore = Sync.failures();
   const TimePoint ConfirmedBefore = Sync.confirmedAt();
   const StoreResult::Status Status = Result.What;
+  const bool Answered = Status == StoreResult::Status::Answered;
+  ++(Query.Peer ? (Answered ? Made.Peer : Made.PeerFailed)
+                : (Answered ? Made.Store : Made.StoreFailed));
   const auto Update = Sync.onResult(std::move(Result));
   if (!Query.Peer)
     logStore(FailuresBefore, Status);
@@ -186,6 +190,10 @@
 
 const StoreSync &StoreFollower::sync() const { return S->Sync; }
 
+Duration StoreFollower::age() const { return S->age(); }
+
+const StoreFollower::Calls &StoreFollower::calls() const { return S->Made; }
+
 size_t StoreFollower::peers() const { return S->Peers.size(); }
 
 EventLog::Fields StoreFollower::beliefs() const {
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -45,6 +45,18 @@
   /// Other instances that were heard of lately.
   size_t peers() const;
 
+  /// How long ago the store confirmed what is known.
+  Duration age() const;
+
+  /// Calls by target and result.
+  struct Calls {
+    uint64_t Store = 0;
+    uint64_t StoreFailed = 0;
+    uint64_t Peer = 0;
+    uint64_t PeerFailed = 0;
+  };
+  const Calls &calls() const;
+
   /// Revision and age of what is known, for the log.
   EventLog::Fields beliefs() const;
 
--- a/tests/flow_steering_test.cpp
+++ b/tests/flow_steering_test.cpp
@@ -89,7 +89,16 @@
   ManualClock Time;
   RouteTable Routes;
   UpstreamRegistry Upstreams;
-  FlowSteering Steering{{"a"}, Time, Routes, Upstreams};
+  SteeringMetrics Metrics;
+  std::vector<uint64_t> Silent;
+  FlowSteering Steering{{"a"},
+                        Time,
+                        Routes,
+                        Upstreams,
+                        Metrics,
+                        [this](const FlowAddress &, const Upstream &Given) {
+                          Silent.push_back(Given.Registration.Id.value());
+                        }};
   uint64_t Revision = 0;
 };
 
@@ -150,7 +159,8 @@
 // A throwaway trial broke open flows by resets in its first moments.
 TEST_F(FlowSteeringTest, WithoutAConfigurationNothingIsReset) {
   RouteTable Empty;
-  FlowSteering Fresh({"a"}, Time, Empty, Upstreams);
+  FlowSteering Fresh({"a"}, Time, Empty, Upstreams, Metrics,
+                     [](const FlowAddress &, const Upstream &) {});
   for (const PacketHeader &Packet : {opening(1), data(2, 11)}) {
     const SteeringDecision Decision = Fresh.steer(Packet);
     EXPECT_EQ(Decision.Action, SteeringAction::Drop);
@@ -233,6 +243,31 @@
     EXPECT_NE(open(Port), Silent);
 }
 
+// Each packet is one decision, and each decision is counted under its reason.
+TEST_F(FlowSteeringTest, DecisionsAreCounted) {
+  const uint64_t Id = open(1);
+  Steering.steer(data(1, Id, 600));
+  Steering.steer(opening(2, UnknownAddress));
+  EXPECT_EQ(Metrics.decisions(SteeringAction::Forward, SteeringReason::NewFlow),
+            1U);
+  EXPECT_EQ(
+      Metrics.decisions(SteeringAction::Forward, SteeringReason::KnownFlow),
+      2U);
+  EXPECT_EQ(Metrics.decisions(SteeringAction::Reset, SteeringReason::NoRoute),
+            1U);
+  EXPECT_EQ(Metrics.service("chat").OpenedInZone, 1U);
+  EXPECT_EQ(Metrics.service("chat").OpenLatencySum, 7ms);
+}
+
+TEST_F(FlowSteeringTest, ASilenceIsReportedOnce) {
+  const uint64_t Id = idOf(Steering.steer(opening(1)));
+  Time.advance(OpenTimeout);
+  open(2);
+  open(3);
+  EXPECT_EQ(Silent, std::vector<uint64_t>({Id}));
+  EXPECT_EQ(Metrics.service("chat").Silent, 1U);
+}
+
 // One trial at a time: each costs a caller time if the upstream is still dark.
 TEST_F(FlowSteeringTest, AfterASuspicionOneFlowTriesTheUpstream) {
   const uint64_t Silent = idOf(Steering.steer(opening(1)));
--- /dev/null
+++ b/tests/forwarder_test.cpp
@@ -0,0 +1,200 @@
+#include "forwarder.h"
+
+#include <gtest/gtest.h>
+
+#include "http_server.h"
+#include "loop_test_support.h"
+#include "platform/packet_codec.h"
+#include "platform/protocol.h"
+#include "udp_endpoint.h"
+
+namespace indigopoint::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A forwarder with a store, a client and an upstream in one process, over
+// loopback.
+class ForwarderTest : public testing::Test {
+protected:
+  static Endpoint freePort(EventLoop &Loop) {
+    HttpServer Probe(Loop);
+    EXPECT_FALSE(Probe.open(AnyPort));
+    return Probe.address();
+  }
+
+  void SetUp() override {
+    ASSERT_FALSE(
+        Upstream.open(Loop, AnyPort, [this](Endpoint, std::string_view Bytes) {
+          Received.emplace_back(Bytes);
+        }));
+    ASSERT_FALSE(Client.open(Loop, AnyPort, [](Endpoint, std::string_view) {}));
+    Store.route("GET", "/kv-range",
+                [this](const HttpRequest &, const HttpServer::Respond &Answer) {
+                  Held.push_back(Answer);
+                });
+    ASSERT_FALSE(Store.open(AnyPort));
+    Settings.Name = "test";
+    Settings.Zone = "a";
+    Settings.DataAddress = freePort(Loop);
+    Settings.ReadyAddress = freePort(Loop);
+    Settings.Store = Store.address();
+    Settings.MetricsAddress = freePort(Loop);
+    Settings.StopLimit = 3s;
+    Running = std::make_unique<Forwarder>(Loop, Settings, forwarderProtocol(),
+                                          [this] { Stopped = true; });
+    ASSERT_EQ(Running->start(), "");
+  }
+
+  // The values are base64 of a configuration with the route 198.18.0.1:443 to
+  // "chat", and of the registration of an upstream there.
+  void answerSnapshot() {
+    ASSERT_TRUE(runUntil(Loop, [this] { return !Held.empty(); }));
+    Held.back()({200, snapshot()});
+    Held.clear();
+  }
+
+  std::string snapshot() const;
+
+  void sendOpening() {
+    std::string Packet(HeaderBytes, '\0');
+    const std::string Flow("\xc6\x12\x00\x01\x01\xbb\x64\x40\x00\x07\x9c\x41",
+                           12);
+    Packet.replace(6, 12, Flow);
+    Packet[30] = 32;
+    Client.nextBuffer() = Packet;
+    Client.commit(Settings.DataAddress);
+    Client.flush();
+  }
+
+  HttpResult get(Endpoint To, const std::string &Path) {
+    HttpCall Call;
+    Call.To = To;
+    Call.Target = Path;
+    HttpResult Got;
+    bool Done = false;
+    HttpClient Http(Loop);
+    Http.call(Call, [&](HttpResult Result) {
+      Got = std::move(Result);
+      Done = true;
+    });
+    EXPECT_TRUE(runUntil(Loop, [&] { return Done; }));
+    return Got;
+  }
+
+  int readiness() { return get(Settings.ReadyAddress, "/readiness").Status; }
+
+  EventLoop Loop;
+  UdpEndpoint Upstream{MaxPacketBytes + 8};
+  UdpEndpoint Client{MaxPacketBytes};
+  HttpServer Store{Loop};
+  std::vector<HttpServer::Respond> Held;
+  std::vector<std::string> Received;
+  ForwarderSettings Settings;
+  std::unique_ptr<Forwarder> Running;
+  bool Stopped = false;
+};
+
+std::string encodeBase64(const std::string &Text) {
+  constexpr std::string_view Digits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string Out;
+  for (size_t At = 0; At < Text.size(); At += 3) {
+    uint32_t Group = 0;
+    for (size_t Index = 0; Index < 3; ++Index)
+      Group = (Group << 8) |
+              (At + Index < Text.size() ? uint8_t(Text[At + Index]) : 0);
+    for (size_t Index = 0; Index < 4; ++Index)
+      Out += At + Index > Text.size()
+                 ? '='
+                 : Digits[(Group >> (18 - 6 * Index)) & 63];
+  }
+  return Out;
+}
+
+std::string ForwarderTest::snapshot() const {
+  const std::string Config =
+      R"({"Version":1,"Routes":[{"Name":"r","Host":"198.18.0.1",)"
+      R"("Prefix":"/443/","Service":"chat"}]})";
+  const std::string Entry = R"({"Service":"chat","Address":")" +
+                            toString(Upstream.address()) +
+                            R"(","Zone":"a","Concurrency":2,"State":"ready"})";
+  return R"({"items":[{"Key":"op/config","Revision":1,"Value":")" +
+         encodeBase64(Config) +
+         R"("},{"Key":"servers/i-7f3a91c2","Revision":2,"Value":")" +
+         encodeBase64(Entry) + R"("}],"StoreRevision":2})";
+}
+
+TEST_F(ForwarderTest, APacketGoesToAnUpstreamOfItsRoute) {
+  answerSnapshot();
+  runFor(Loop, 50ms);
+  EXPECT_EQ(readiness(), 200);
+  sendOpening();
+  ASSERT_TRUE(runUntil(Loop, [this] { return !Received.empty(); }));
+  EXPECT_EQ(Received[0].substr(0, 8),
+            std::string("\0\0\0\0\x7f\x3a\x91\xc2", 8));
+  EXPECT_EQ(Received[0].size(), 8 + HeaderBytes);
+}
+
+TEST_F(ForwarderTest, MetricsAndStateAreShown) {
+  answerSnapshot();
+  runFor(Loop, 50ms);
+  sendOpening();
+  runUntil(Loop, [this] { return !Received.empty(); });
+  const HttpResult Metrics = get(Settings.MetricsAddress, "/metrics");
+  EXPECT_EQ(Metrics.Status, 200);
+  for (const std::string Line :
+       {"# TYPE indigopoint_packets_total counter\n",
+        "indigopoint_packets_total{action=\"forward\",reason=\"new-flow\"} 1",
+        "indigopoint_flows_opened_total{service=\"chat\",zone=\"own\"} 1",
+        "# TYPE indigopoint_open_seconds histogram\n",
+        "indigopoint_upstreams{state=\"ready\"} 1",
+        "indigopoint_configuration_version 1"})
+    EXPECT_NE(Metrics.Body.find(Line), std::string::npos) << Line;
+  const HttpResult Status = get(Settings.MetricsAddress, "/status");
+  EXPECT_NE(Status.Body.find("\"configuration\": 1"), std::string::npos);
+  EXPECT_EQ(get(Settings.MetricsAddress, "/else").Status, 404);
+}
+
+TEST_F(ForwarderTest, WithoutAConfigurationItIsNotReady) {
+  EXPECT_EQ(readiness(), 503);
+}
+
+// Packets that arrived in the moments before the first configuration were
+// dropped, and clients repeat only after 200 ms.
+TEST_F(ForwarderTest, PacketsWaitForTheFirstConfiguration) {
+  sendOpening();
+  runFor(Loop, 50ms);
+  EXPECT_TRUE(Received.empty());
+  answerSnapshot();
+  EXPECT_TRUE(runUntil(Loop, [this] { return !Received.empty(); }));
+}
+
+// Stale packets must not pile up while there is no configuration.
+TEST_F(ForwarderTest, PacketsDoNotWaitForLong) {
+  sendOpening();
+  runFor(Loop, 600ms);
+  answerSnapshot();
+  runFor(Loop, 50ms);
+  EXPECT_TRUE(Received.empty());
+}
+
+// Routers go on sending here until they have noticed, and longer if most of a
+// zone is leaving.
+TEST_F(ForwarderTest, APlannedStopForwardsUntilPacketsCease) {
+  answerSnapshot();
+  runFor(Loop, 50ms);
+  Running->stop();
+  EXPECT_EQ(readiness(), 503);
+  const LoopEvent Traffic = LoopEvent::every(Loop, 50ms, [this] {
+    if (Received.size() < 35)
+      sendOpening();
+  });
+  runFor(Loop, 1600ms);
+  EXPECT_FALSE(Stopped);
+  EXPECT_GT(Received.size(), 20U);
+  EXPECT_TRUE(runUntil(Loop, [this] { return Stopped; }));
+}
+
+} // namespace
+} // namespace indigopoint::platform
