Avoid upstreams that refuse openings or leave several unanswered

Clients used up their retries within milliseconds: 16 requests lost between 2 s and 4 s.

Ruled out: balance (a crashed upstream keeps its old flows in the count, so it is not the least loaded).

Change: a client that opens another flow while its last opening is pending is sent elsewhere; twice so, or several openings without any answer for 30 ms, make the upstream suspect.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -24,8 +24,8 @@
   return Decision;
 }
 
-void FlowSteering::noteSilence(const FlowAddress &Address,
-                               const SteeredFlow &Flow) {
+void FlowSteering::noteSilence(const FlowAddress &Address, SteeredFlow &Flow) {
+  endPending(Flow);
   Upstream *Silent = Upstreams.find(Flow.Upstream);
   if (Silent == nullptr)
     return;
@@ -55,7 +55,7 @@
     Flow = nullptr;
   }
   if (Flow == nullptr)
-    return openFlow(Packet, *Via, nullptr, {});
+    return openFlow(Packet, *Via, nullptr, refusedBy(Packet.Flow));
   Upstream *Current = Upstreams.find(Flow->Upstream);
   Flow->LastSeen = Time.now();
   if (Flow->State != SteeredFlow::Phase::Opening || !IsCopy)
@@ -94,7 +94,10 @@
     Flow->SentEnd = Packet.Sequence + 1;
     Flow->OpenedAt = Flow->LastSeen = Now;
     Flows.expectOpening(Packet.Flow, Now + OpenTimeout);
-    To->Reach.noteTrial(Now);
+    endPending(*Flow);
+    Flow->Pending = true;
+    To->Reach.noteOpening(Now);
+    LastOpened[Packet.Flow.Client.Address] = Packet.Flow;
   }
   ServiceFlowMetrics &Service = Metrics.service(To->Registration.Service);
   ++(To->Registration.Zone == Given.Zone ? Service.OpenedInZone
@@ -103,6 +106,23 @@
                  *To);
 }
 
+// An upstream resets an opening that it does not take, which is not seen here.
+// Its client opens another flow at once, about as long after the first one as
+// it would otherwise have gone on.
+UpstreamId FlowSteering::refusedBy(const FlowAddress &Flow) {
+  const auto Last = LastOpened.find(Flow.Client.Address);
+  const SteeredFlow *Before =
+      Last == LastOpened.end() ? nullptr : Flows.find(Last->second);
+  if (Before == nullptr || !Before->Pending ||
+      Last->second.Service != Flow.Service)
+    return {};
+  Upstream *Given = Upstreams.find(Before->Upstream);
+  if (Given != nullptr &&
+      Time.now() - Before->OpenedAt >= TypicalOpening * 9 / 10)
+    Given->Reach.noteRefusal(Time.now());
+  return Before->Upstream;
+}
+
 // A flow whose tag would lead to another upstream goes elsewhere.
 bool FlowSteering::takesFlow(const Upstream &Given, const FlowAddress &Flow) {
   const FlowTag Tag = tagOf(Flow, Given.Registration.Id);
@@ -185,9 +205,11 @@
   Flow.LastSeen = Now;
   const bool Opened = Flow.State == SteeredFlow::Phase::Opening;
   if (Opened) {
+    endPending(Flow);
     setPhase(Flow, SteeredFlow::Phase::Open);
     ServiceFlowMetrics &Service = Metrics.service(To.Registration.Service);
     const Duration Latency = Now - Flow.OpenedAt;
+    TypicalOpening += (Latency - TypicalOpening) / 8;
     Service.OpenLatency(static_cast<double>(Latency.count()));
     Service.OpenLatencySum += Latency;
   }
@@ -218,7 +240,16 @@
   Flow.State = Next;
 }
 
+void FlowSteering::endPending(SteeredFlow &Flow) {
+  if (!Flow.Pending)
+    return;
+  Flow.Pending = false;
+  if (Upstream *Given = Upstreams.find(Flow.Upstream))
+    Given->Reach.noteOpeningEnded();
+}
+
 void FlowSteering::release(SteeredFlow &Flow) {
+  endPending(Flow);
   if (Flow.State == SteeredFlow::Phase::Closing)
     return;
   if (Upstream *Old = Upstreams.find(Flow.Upstream); Old && Old->OpenFlows > 0)
@@ -242,6 +273,9 @@
   // Longer than any flow lives.
   constexpr Duration FlowLifetime = std::chrono::minutes(2);
   Upstreams.expire(Now, FlowLifetime);
+  std::erase_if(LastOpened, [this](const auto &Each) {
+    return Flows.find(Each.second) == nullptr;
+  });
 }
 
 } // namespace indigopoint
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -40,7 +40,7 @@
 
 private:
   SteeringDecision decide(const PacketHeader &Packet);
-  void noteSilence(const FlowAddress &Address, const SteeredFlow &Flow);
+  void noteSilence(const FlowAddress &Address, SteeredFlow &Flow);
   SteeringDecision steerOpening(const PacketHeader &Packet, SteeredFlow *Flow);
   SteeringDecision steerLater(const PacketHeader &Packet, SteeredFlow *Flow);
   SteeringDecision openFlow(const PacketHeader &Packet, const Route &Via,
@@ -52,6 +52,8 @@
   bool takesFlow(const Upstream &Given, const FlowAddress &Flow);
   void noteProgress(const PacketHeader &Packet, SteeredFlow &Flow,
                     Upstream &To);
+  UpstreamId refusedBy(const FlowAddress &Flow);
+  void endPending(SteeredFlow &Flow);
   void setPhase(SteeredFlow &Flow, SteeredFlow::Phase Next);
   void release(SteeredFlow &Flow);
   void assign(SteeredFlow &Flow, UpstreamId To);
@@ -63,6 +65,10 @@
   SteeringMetrics &Metrics;
   SilenceHook OnSilence;
   SteeredFlows Flows;
+  /// The last flow that each client opened, by the client's address.
+  std::unordered_map<uint32_t, FlowAddress> LastOpened;
+  /// A smoothed time from an opening packet to the client's next one.
+  Duration TypicalOpening = std::chrono::milliseconds(10);
 };
 
 } // namespace indigopoint
--- a/src/reachability.h
+++ b/src/reachability.h
@@ -14,12 +14,19 @@
   /// An opening packet found no answer in time.
   void noteSilence(TimePoint Now);
 
-  /// Whether new flows should go elsewhere.
-  bool isSuspect(TimePoint Now) const { return Now < SuspectUntil; }
+  /// A client whose opening packet was sent there opens another flow instead
+  /// of going on: it was refused. The second time in a row counts as silence.
+  void noteRefusal(TimePoint Now);
+
+  /// An opening packet is sent there. After a suspicion it is a trial: until
+  /// its outcome is known, others go elsewhere.
+  void noteOpening(TimePoint Now);
 
-  /// A new flow is sent there. After a suspicion it is a trial: until its
-  /// outcome is known, others go elsewhere.
-  void noteTrial(TimePoint Now);
+  /// The outcome of an opening is known, or it does not count any more.
+  void noteOpeningEnded();
+
+  /// Whether new flows should go elsewhere.
+  bool isSuspect(TimePoint Now) const;
 
   TimePoint lastAnswer() const { return LastAnswer; }
 
@@ -27,6 +34,11 @@
   TimePoint LastAnswer{};
   TimePoint SuspectUntil{};
   Duration Backoff{};
+  uint32_t Refusals = 0;
+  /// Openings whose outcome is not known, and since when there are any without
+  /// an answer in between.
+  uint32_t Pending = 0;
+  TimePoint PendingSince{};
 };
 
 /// An opening packet without an answer for this long tells of a silent
--- a/src/steering_flows.h
+++ b/src/steering_flows.h
@@ -21,6 +21,8 @@
 
   Phase State = Phase::Opening;
   UpstreamId Upstream;
+  /// It counts among the openings of its upstream whose outcome is not known.
+  bool Pending = false;
   /// Of its opening packet; tells a new flow of the same client port.
   uint32_t InitialSequence = 0;
   /// The highest acknowledgement seen.
--- a/tests/flow_steering_test.cpp
+++ b/tests/flow_steering_test.cpp
@@ -268,6 +268,55 @@
   EXPECT_EQ(Metrics.service("chat").Silent, 1U);
 }
 
+// Seen when upstreams crashed: their machine reset each opening, which is not
+// seen here, and clients used up their retries on the same upstream.
+TEST_F(FlowSteeringTest, ARefusedClientIsSentElsewhere) {
+  for (uint16_t Port = 1; Port < 9; Port += 2) {
+    const uint64_t Refusing = idOf(Steering.steer(opening(Port)));
+    Time.advance(10ms);
+    EXPECT_NE(idOf(Steering.steer(opening(Port + 1))), Refusing);
+    Time.advance(1s);
+  }
+}
+
+TEST_F(FlowSteeringTest, TwoRefusalsMakeAnUpstreamSuspect) {
+  constexpr uint64_t Refusing = 11;
+  uint16_t Port = 1;
+  for (int Refusals = 0; Refusals < 2;) {
+    const uint64_t Id = idOf(Steering.steer(opening(Port)));
+    Time.advance(10ms);
+    if (Id == Refusing)
+      ++Refusals;
+    else
+      Steering.steer(data(Port, Id));
+    ++Port;
+  }
+  Steering.steer(opening(Port));
+  EXPECT_TRUE(
+      Upstreams.find(UpstreamId(Refusing))->Reach.isSuspect(Time.now()));
+  EXPECT_FALSE(Upstreams.find(UpstreamId(12))->Reach.isSuspect(Time.now()));
+}
+
+// Clients open several flows at once as a rule; that alone says nothing.
+TEST_F(FlowSteeringTest, FlowsOpenedAtOnceAreNoRefusal) {
+  for (uint16_t Port = 1; Port < 9; ++Port)
+    Steering.steer(opening(Port));
+  for (const uint64_t Id : {11, 12})
+    EXPECT_FALSE(Upstreams.find(UpstreamId(Id))->Reach.isSuspect(Time.now()));
+}
+
+TEST_F(FlowSteeringTest, SeveralOpeningsWithoutAnyAnswerLookLikeACrash) {
+  std::vector<uint16_t> Unanswered;
+  for (uint16_t Port = 1; Port <= 4; ++Port)
+    if (idOf(Steering.steer(opening(Port))) == 11)
+      Unanswered.push_back(Port);
+  ASSERT_GE(Unanswered.size(), 2U);
+  Time.advance(40ms);
+  EXPECT_TRUE(Upstreams.find(UpstreamId(11))->Reach.isSuspect(Time.now()));
+  Steering.steer(data(Unanswered[0], 11));
+  EXPECT_FALSE(Upstreams.find(UpstreamId(11))->Reach.isSuspect(Time.now()));
+}
+
 // One trial at a time: each costs a caller time if the upstream is still dark.
 TEST_F(FlowSteeringTest, AfterASuspicionOneFlowTriesTheUpstream) {
   const uint64_t Silent = idOf(Steering.steer(opening(1)));
