Reset open flows of upstreams that have certainly ended

Ruled out: new flows to the dark upstreams (17 openings in all); resets on repeats alone (requests that take long are repeated as well).

Change: two repeats without an answer for 200 ms, or a silent opening, lead to a connection check of the upstream. If nothing accepts within 250 ms, nothing answered since and others did answer, data of its open flows is reset for 1.5 s. The same where the address has another owner, and for repeats 2.5 s after the registration ended while the store was there.

--- /dev/null
+++ b/src/connect_check.cpp
@@ -0,0 +1,79 @@
+#include "connect_check.h"
+
+#include <list>
+#include <new>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+
+#include "event_loop.h"
+
+namespace indigopoint {
+
+struct ConnectCheck::State {
+  struct Attempt {
+    ~Attempt() {
+      if (Connection != nullptr)
+        bufferevent_free(Connection);
+    }
+
+    State *Owner = nullptr;
+    std::list<Attempt>::iterator Self;
+    bufferevent *Connection = nullptr;
+    LoopEvent Limit;
+    ResultHook OnResult;
+  };
+
+  explicit State(EventLoop &Loop) : Loop(Loop) {}
+
+  void finish(Attempt &Done, bool IsAccepting) {
+    const ResultHook OnResult = std::move(Done.OnResult);
+    Attempts.erase(Done.Self);
+    OnResult(IsAccepting);
+  }
+
+  static void onEvent(bufferevent *, short What, void *Context) {
+    auto &Done = *static_cast<Attempt *>(Context);
+    Done.Owner->finish(Done, (What & BEV_EVENT_CONNECTED) != 0);
+  }
+
+  EventLoop &Loop;
+  std::list<Attempt> Attempts;
+};
+
+ConnectCheck::ConnectCheck(EventLoop &Loop)
+    : S(std::make_unique<State>(Loop)) {}
+
+ConnectCheck::~ConnectCheck() = default;
+
+void ConnectCheck::start(Endpoint Target, Duration Timeout,
+                         ResultHook OnResult) {
+  State::Attempt &Started = S->Attempts.emplace_back();
+  Started.Owner = S.get();
+  Started.Self = std::prev(S->Attempts.end());
+  Started.OnResult = std::move(OnResult);
+  Started.Connection =
+      bufferevent_socket_new(S->Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  if (Started.Connection == nullptr)
+    throw std::bad_alloc();
+  bufferevent_setcb(Started.Connection, nullptr, nullptr, State::onEvent,
+                    &Started);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(Target.Address);
+  Address.sin_port = htons(Target.Port);
+  // A failure at once is reported by the timer, so that the hook never runs
+  // from within this call.
+  const bool Connecting =
+      bufferevent_socket_connect(Started.Connection,
+                                 reinterpret_cast<sockaddr *>(&Address),
+                                 sizeof(Address)) == 0;
+  Started.Limit = LoopEvent::after(
+      S->Loop, Connecting ? Timeout : Duration(),
+      [Owner = S.get(), &Started] { Owner->finish(Started, false); });
+}
+
+} // namespace indigopoint
--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -25,6 +25,7 @@
     "upstream-changed",
     "entry-unreadable",
     "upstream-silent",
+    "upstream-checked",
     "flow-opened",
     "flow-moved",
     "flow-adopted",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -28,6 +28,7 @@
   UpstreamChanged,
   EntryUnreadable,
   UpstreamSilent,
+  UpstreamChecked,
   FlowOpened,
   FlowMoved,
   FlowAdopted,
@@ -36,7 +37,7 @@
   LinesSuppressed
 };
 
-constexpr size_t LogEvents = 19;
+constexpr size_t LogEvents = 20;
 
 std::string_view nameOf(LogEvent Value);
 
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+// Answers of other upstreams within this time show that the own connection to
+// the network works.
+constexpr Duration RecentAnswer = std::chrono::milliseconds(500);
+
 // Sequence numbers wrap around.
 bool isAfter(uint32_t A, uint32_t B) { return static_cast<int32_t>(A - B) > 0; }
 
@@ -31,7 +35,21 @@
     return;
   Silent->Reach.noteSilence(Time.now());
   ++Metrics.service(Silent->Registration.Service).Silent;
-  OnSilence(Address, *Silent);
+  Report.OnSilence(Address, *Silent);
+  considerCheck(*Silent);
+}
+
+void FlowSteering::considerCheck(Upstream &Given) {
+  if (Given.Reach.wantsCheck(Time.now()))
+    Report.OnCheck(Given);
+}
+
+// If nothing else answers either, the fault is more likely here than there.
+void FlowSteering::noteCheck(UpstreamId Id, bool IsAccepting) {
+  const TimePoint Now = Time.now();
+  Upstream *Checked = Upstreams.find(Id);
+  if (Checked != nullptr && (IsAccepting || Now - AnyAnswer <= RecentAnswer))
+    Checked->Reach.noteCheck(IsAccepting, Now);
 }
 
 SteeringDecision FlowSteering::decide(const PacketHeader &Packet) {
@@ -176,8 +194,34 @@
   Upstream *To = Upstreams.find(Flow->Upstream);
   if (To == nullptr)
     return {SteeringAction::Drop, SteeringReason::UnknownTag, nullptr};
-  noteProgress(Packet, *Flow, *To);
-  return forward(SteeringReason::KnownFlow, *To);
+  const bool Repeated = noteProgress(Packet, *Flow, *To);
+  return continueFlow(Packet, SteeringReason::KnownFlow, Repeated, *To);
+}
+
+// Open flows are only reset if their upstream has certainly ended: a wrong
+// reset breaks a flow, while a missing one costs a wait.
+std::optional<SteeringReason> FlowSteering::reasonToReset(const Upstream &Given,
+                                                          bool Repeated) const {
+  if (Upstreams.isAddressReused(Given))
+    return SteeringReason::AddressReused;
+  if (Given.Reach.isDead(Time.now()))
+    return SteeringReason::UpstreamDead;
+  if (Repeated && Upstreams.isGone(Given))
+    return SteeringReason::UpstreamGone;
+  return std::nullopt;
+}
+
+SteeringDecision FlowSteering::continueFlow(const PacketHeader &Packet,
+                                            SteeringReason Reason,
+                                            bool Repeated, Upstream &To) {
+  const auto Ended = reasonToReset(To, Repeated);
+  if (!Ended)
+    return {SteeringAction::Forward, Reason, &To};
+  if (Packet.Finishes || Packet.Resets || Packet.DataBytes == 0)
+    return {SteeringAction::Drop, *Ended, nullptr};
+  if (SteeredFlow *Flow = Flows.find(Packet.Flow))
+    setPhase(*Flow, SteeredFlow::Phase::Closing);
+  return {SteeringAction::Reset, *Ended, nullptr};
 }
 
 SteeringDecision FlowSteering::followTag(const PacketHeader &Packet) {
@@ -196,10 +240,10 @@
     if (Packet.Finishes || Packet.Resets)
       setPhase(*Flow, SteeredFlow::Phase::Closing);
   }
-  return forward(SteeringReason::TaggedFlow, *To);
+  return continueFlow(Packet, SteeringReason::TaggedFlow, false, *To);
 }
 
-void FlowSteering::noteProgress(const PacketHeader &Packet, SteeredFlow &Flow,
+bool FlowSteering::noteProgress(const PacketHeader &Packet, SteeredFlow &Flow,
                                 Upstream &To) {
   const TimePoint Now = Time.now();
   Flow.LastSeen = Now;
@@ -213,15 +257,25 @@
     Service.OpenLatency(static_cast<double>(Latency.count()));
     Service.OpenLatencySum += Latency;
   }
-  if (Opened || isAfter(Packet.Acknowledged, Flow.Acknowledged)) {
+  const bool Answered =
+      Opened || isAfter(Packet.Acknowledged, Flow.Acknowledged);
+  const uint32_t End = Packet.Sequence + Packet.DataBytes;
+  const bool Repeated =
+      !Answered && Packet.DataBytes > 0 && !isAfter(End, Flow.SentEnd);
+  if (Answered) {
     Flow.Acknowledged = Packet.Acknowledged;
+    AnyAnswer = Now;
     To.Reach.noteAnswer(Now);
   }
-  const uint32_t End = Packet.Sequence + Packet.DataBytes;
+  if (Repeated) {
+    To.Reach.noteRepeat(Now);
+    considerCheck(To);
+  }
   if (isAfter(End, Flow.SentEnd))
     Flow.SentEnd = End;
   if (Packet.Finishes || Packet.Resets)
     setPhase(Flow, SteeredFlow::Phase::Closing);
+  return Repeated;
 }
 
 SteeringDecision FlowSteering::forward(SteeringReason Reason,
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "clock.h"
@@ -21,18 +22,25 @@
     std::string Zone;
   };
 
-  /// Called when an opening packet of a flow found no answer in time.
-  using SilenceHook = std::function<void(const FlowAddress &, Upstream &)>;
+  struct Hooks {
+    /// An opening packet of a flow found no answer in time.
+    std::function<void(const FlowAddress &, const Upstream &)> OnSilence;
+    /// Whether the upstream accepts connections should be checked, and told
+    /// to noteCheck.
+    std::function<void(const Upstream &)> OnCheck;
+  };
 
   FlowSteering(Settings Given, const Clock &Time, RouteTable &Routes,
                UpstreamRegistry &Upstreams, SteeringMetrics &Metrics,
-               SilenceHook OnSilence)
+               Hooks Report)
       : Given(std::move(Given)), Time(Time), Routes(Routes),
-        Upstreams(Upstreams), Metrics(Metrics),
-        OnSilence(std::move(OnSilence)) {}
+        Upstreams(Upstreams), Metrics(Metrics), Report(std::move(Report)) {}
 
   SteeringDecision steer(const PacketHeader &Packet);
 
+  /// Takes the outcome of a check that OnCheck asked for.
+  void noteCheck(UpstreamId Id, bool IsAccepting);
+
   /// Forgets flows that ended. Called about once a second.
   void sweep();
 
@@ -47,10 +55,17 @@
                             SteeredFlow *Flow, UpstreamId Avoided);
   SteeringDecision followTag(const PacketHeader &Packet);
   SteeringDecision forward(SteeringReason Reason, Upstream &To) const;
+  SteeringDecision continueFlow(const PacketHeader &Packet,
+                                SteeringReason Reason, bool Repeated,
+                                Upstream &To);
+  std::optional<SteeringReason> reasonToReset(const Upstream &Given,
+                                              bool Repeated) const;
+  void considerCheck(Upstream &Given);
   Upstream *choose(const std::string &Service, const FlowAddress &Flow,
                    UpstreamId Avoided);
   bool takesFlow(const Upstream &Given, const FlowAddress &Flow);
-  void noteProgress(const PacketHeader &Packet, SteeredFlow &Flow,
+  /// Returns whether the packet repeats data that nothing answered.
+  bool noteProgress(const PacketHeader &Packet, SteeredFlow &Flow,
                     Upstream &To);
   UpstreamId refusedBy(const FlowAddress &Flow);
   void endPending(SteeredFlow &Flow);
@@ -63,10 +78,12 @@
   RouteTable &Routes;
   UpstreamRegistry &Upstreams;
   SteeringMetrics &Metrics;
-  SilenceHook OnSilence;
+  Hooks Report;
   SteeredFlows Flows;
   /// The last flow that each client opened, by the client's address.
   std::unordered_map<uint32_t, FlowAddress> LastOpened;
+  /// When any upstream last answered.
+  TimePoint AnyAnswer{};
   /// A smoothed time from an opening packet to the client's next one.
   Duration TypicalOpening = std::chrono::milliseconds(10);
 };
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -4,6 +4,7 @@
 
 #include <unistd.h>
 
+#include "connect_check.h"
 #include "event_loop.h"
 #include "flow_steering.h"
 #include "forwarder_report.h"
@@ -33,6 +34,9 @@
 // long. Clients repeat after 200 ms, and most give up after 500 ms.
 constexpr Duration HoldTime = std::chrono::milliseconds(400);
 
+// Connections are accepted within a few milliseconds, also under load.
+constexpr Duration CheckTimeout = std::chrono::milliseconds(250);
+
 // Left of the limit of a planned stop when the process ends.
 constexpr Duration StopMargin = std::chrono::milliseconds(500);
 
@@ -63,6 +67,8 @@
   std::string openReport();
   ForwarderView view() const;
   void logSilence(const FlowAddress &Flow, const Upstream &Silent);
+  void check(const Upstream &Given);
+  void onCheck(UpstreamId Id, bool IsAccepting);
   void startReceiving();
   void receive(std::string_view Datagram);
   void sendReset(const PacketHeader &Packet);
@@ -86,6 +92,7 @@
   FlowSteering Steering;
   StoreBeliefs Beliefs;
   StoreFollower Follower;
+  ConnectCheck Checks;
   UdpEndpoint Data;
   HttpServer Ready;
   HttpServer Report;
@@ -105,16 +112,18 @@
     : Loop(Loop), Settings(std::move(Settings)), Protocol(std::move(Protocol)),
       OnStop(std::move(OnStop)), Log({this->Settings.Name}, Time),
       Steering({this->Settings.Zone}, Time, Routes, Upstreams, Metrics,
-               [this](const FlowAddress &Flow, const Upstream &Silent) {
-                 logSilence(Flow, Silent);
-               }),
+               {[this](const FlowAddress &Flow, const Upstream &Silent) {
+                  logSilence(Flow, Silent);
+                },
+                [this](const Upstream &Given) { check(Given); }}),
       Beliefs(this->Protocol.DecodeFact, Time, Log, Routes, Upstreams),
       Follower(Loop, this->Settings, this->Protocol.Store, Time, Log,
                [this](const StoreSync::Update &Update) {
                  Beliefs.apply(Update);
                  startReceiving();
                }),
-      Data(this->Protocol.MaxPacketBytes), Ready(Loop), Report(Loop) {}
+      Checks(Loop), Data(this->Protocol.MaxPacketBytes), Ready(Loop),
+      Report(Loop) {}
 
 std::string Forwarder::State::start() {
   Time.refresh();
@@ -190,6 +199,27 @@
   });
 }
 
+void Forwarder::State::check(const Upstream &Given) {
+  Checks.start(Given.Registration.Address, CheckTimeout,
+               [this, Id = Given.Registration.Id](bool IsAccepting) {
+                 onCheck(Id, IsAccepting);
+               });
+}
+
+void Forwarder::State::onCheck(UpstreamId Id, bool IsAccepting) {
+  Time.refresh();
+  Steering.noteCheck(Id, IsAccepting);
+  Log.write(LogEvent::UpstreamChecked, [&] {
+    const Upstream *Checked = Upstreams.find(Id);
+    EventLog::Fields Line = {
+        {"upstream", toHex(Id)},
+        {"accepting", IsAccepting},
+        {"dead", Checked != nullptr && Checked->Reach.isDead(Time.now())}};
+    Line.update(beliefs());
+    return Line;
+  });
+}
+
 void Forwarder::State::startReceiving() {
   if (Receiving || !Routes.isLoaded())
     return;
@@ -252,6 +282,7 @@
 
 void Forwarder::State::maintain() {
   Time.refresh();
+  Upstreams.noteConfirmed(Follower.sync().confirmedAt());
   if (Time.now() - SweptAt >= SweepPeriod) {
     SweptAt = Time.now();
     Steering.sweep();
--- a/src/reachability.cpp
+++ b/src/reachability.cpp
@@ -16,17 +16,30 @@
 
 constexpr uint32_t RefusalsToSuspect = 2;
 
+// Requests that take long are repeated as well, so repeats only lead to a
+// check.
+constexpr uint32_t RepeatsToCheck = 2;
+constexpr Duration QuietToCheck = std::chrono::milliseconds(200);
+constexpr Duration CheckPeriod = std::chrono::seconds(1);
+
+// A verdict is renewed by the next check; until then the upstream may be back.
+constexpr Duration DeadTime = std::chrono::milliseconds(1500);
+
 } // namespace
 
 void Reachability::noteAnswer(TimePoint Now) {
   LastAnswer = Now;
   PendingSince = Now;
   Refusals = 0;
+  Repeats = 0;
+  Silent = false;
+  DeadUntil = {};
   SuspectUntil = {};
   Backoff = {};
 }
 
 void Reachability::noteSilence(TimePoint Now) {
+  Silent = true;
   // Several openings that were sent together tell of one silence.
   if (SuspectUntil > Now + OpenTimeout)
     return;
@@ -40,6 +53,26 @@
     noteSilence(Now);
 }
 
+void Reachability::noteRepeat(TimePoint Now) {
+  if (Now - LastAnswer >= QuietToCheck)
+    ++Repeats;
+}
+
+bool Reachability::wantsCheck(TimePoint Now) {
+  if ((Repeats < RepeatsToCheck && !Silent) || Now - CheckedAt < CheckPeriod)
+    return false;
+  CheckedAt = Now;
+  return true;
+}
+
+void Reachability::noteCheck(bool IsAccepting, TimePoint Now) {
+  // An answer that came meanwhile says more than a check.
+  if (IsAccepting)
+    noteAnswer(Now);
+  else if (LastAnswer < CheckedAt)
+    DeadUntil = Now + DeadTime;
+}
+
 void Reachability::noteOpening(TimePoint Now) {
   if (Pending++ == 0)
     PendingSince = Now;
@@ -53,7 +86,7 @@
 }
 
 bool Reachability::isSuspect(TimePoint Now) const {
-  return Now < SuspectUntil ||
+  return Now < SuspectUntil || isDead(Now) ||
          (Pending >= ManyPending && Now - PendingSince > PendingLimit);
 }
 
--- a/src/reachability.h
+++ b/src/reachability.h
@@ -25,9 +25,23 @@
   /// The outcome of an opening is known, or it does not count any more.
   void noteOpeningEnded();
 
+  /// A client of an open flow repeats data that nothing answered.
+  void noteRepeat(TimePoint Now);
+
+  /// Whether a check of the upstream is called for: several clients wait in
+  /// vain, or an opening found no answer. Asks at most once a second.
+  bool wantsCheck(TimePoint Now);
+
+  /// The outcome of a check: whether the upstream accepts connections.
+  void noteCheck(bool IsAccepting, TimePoint Now);
+
   /// Whether new flows should go elsewhere.
   bool isSuspect(TimePoint Now) const;
 
+  /// Whether a check failed lately and nothing answered since. Clients of its
+  /// open flows wait in vain.
+  bool isDead(TimePoint Now) const { return Now < DeadUntil; }
+
   TimePoint lastAnswer() const { return LastAnswer; }
 
 private:
@@ -39,6 +53,11 @@
   /// an answer in between.
   uint32_t Pending = 0;
   TimePoint PendingSince{};
+  /// Repeats of clients since the last answer.
+  uint32_t Repeats = 0;
+  bool Silent = false;
+  TimePoint CheckedAt{};
+  TimePoint DeadUntil{};
 };
 
 /// An opening packet without an answer for this long tells of a silent
--- a/src/steering_decision.cpp
+++ b/src/steering_decision.cpp
@@ -9,9 +9,10 @@
 constexpr std::array<std::string_view, 3> ActionNames = {"forward", "reset",
                                                          "drop"};
 constexpr std::array<std::string_view, SteeringReasons> ReasonNames = {
-    "new-flow",    "repeated-opening", "moved-opening", "known-flow",
-    "tagged-flow", "no-configuration", "no-route",      "route-removed",
-    "no-upstream", "unknown-tag",      "address-reused"};
+    "new-flow",     "repeated-opening", "moved-opening",  "known-flow",
+    "tagged-flow",  "no-configuration", "no-route",       "route-removed",
+    "no-upstream",  "unknown-tag",      "address-reused", "upstream-gone",
+    "upstream-dead"};
 
 } // namespace
 
--- a/src/steering_decision.h
+++ b/src/steering_decision.h
@@ -34,11 +34,15 @@
   /// The tag stands for no upstream known here.
   UnknownTag,
   /// The upstream is gone and its address belongs to another one.
-  AddressReused
+  AddressReused,
+  /// The upstream's registration ended and it answers no more.
+  UpstreamGone,
+  /// The upstream accepts no connections and answers no more.
+  UpstreamDead
 };
 
 constexpr size_t SteeringActions = 3;
-constexpr size_t SteeringReasons = 11;
+constexpr size_t SteeringReasons = 13;
 
 std::string_view nameOf(SteeringAction Value);
 std::string_view nameOf(SteeringReason Value);
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -10,6 +10,10 @@
 constexpr std::array<std::string_view, 3> StateNames = {"ready", "draining",
                                                         "unregistered"};
 
+// A registration that lapsed while the store was away is back this soon after
+// the store's return, if its upstream lives.
+constexpr Duration ReturnTime = std::chrono::milliseconds(2500);
+
 // An upstream that started again under its id holds nothing of before.
 bool isRestart(const UpstreamRegistration &Old,
                const UpstreamRegistration &New) {
@@ -104,6 +108,12 @@
   return Found;
 }
 
+bool UpstreamRegistry::isGone(const Upstream &Given) const {
+  return Given.State == UpstreamState::Unregistered &&
+         ConfirmedAt - Given.UnregisteredAt >= ReturnTime &&
+         Given.Reach.lastAnswer() <= Given.UnregisteredAt;
+}
+
 bool UpstreamRegistry::isAddressReused(const Upstream &Given) const {
   if (Given.State != UpstreamState::Unregistered)
     return false;
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -86,6 +86,13 @@
   /// tags of several agree, the one that registered first.
   Upstream *findByTag(const FlowAddress &Flow, FlowTag Tag);
 
+  /// The store confirmed what is known at \p When.
+  void noteConfirmed(TimePoint When) { ConfirmedAt = When; }
+
+  /// Whether its registration is missing for so long, while the store was
+  /// there, that it must have ended.
+  bool isGone(const Upstream &Given) const;
+
   /// Whether a registered upstream other than \p Given has its address.
   bool isAddressReused(const Upstream &Given) const;
 
@@ -101,6 +108,7 @@
   void link(Upstream &Given);
   void unlink(Upstream &Given);
 
+  TimePoint ConfirmedAt{};
   std::map<UpstreamId, Upstream> Upstreams;
   /// By the part of a tag that depends on the upstream only.
   std::unordered_map<uint16_t, std::vector<Upstream *>> TagGroups;
