Tell the story of a flow from event logs

Cause: from a failed request on-call engineers had to search the logs of all instances by hand.

The rate of log lines is a setting.

--- /dev/null
+++ b/src/command_explain.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "command.h"
+
+namespace indigopoint {
+
+int runExplain(Arguments Given);
+
+} // namespace indigopoint
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -110,7 +110,8 @@
 Forwarder::State::State(EventLoop &Loop, ForwarderSettings Settings,
                         ForwarderProtocol Protocol, StopHook OnStop)
     : Loop(Loop), Settings(std::move(Settings)), Protocol(std::move(Protocol)),
-      OnStop(std::move(OnStop)), Log({this->Settings.Name}, Time),
+      OnStop(std::move(OnStop)),
+      Log({this->Settings.Name, this->Settings.LogLinesPerSecond}, Time),
       Steering({this->Settings.Zone}, Time, Routes, Upstreams, Metrics,
                {[this](const FlowAddress &Flow, const Upstream &Silent) {
                   logSilence(Flow, Silent);
--- a/src/forwarder_settings.cpp
+++ b/src/forwarder_settings.cpp
@@ -8,6 +8,7 @@
 constexpr uint64_t LeastStoreAgeMs = 1500;
 constexpr uint64_t LeastBoundMs = 1000;
 constexpr uint64_t MostStoreAgeMs = 30'000;
+constexpr uint64_t MostLogLines = 100'000;
 constexpr uint32_t MostStopLimitS = 600;
 
 } // namespace
@@ -16,6 +17,7 @@
                                                   const std::string &File,
                                                   ForwarderSettings &Out) {
   ForwarderSettings Read;
+  std::optional<uint64_t> LogLines;
   std::vector<SettingsError> Errors =
       readSettingsText(Text, File, [&](SettingsReader &Reader) {
         Reader.text("name", Read.Name, true);
@@ -30,8 +32,14 @@
                             MostStoreAgeMs);
         Reader.milliseconds("changeBoundMs", Read.ChangeBound, LeastBoundMs,
                             MostStoreAgeMs);
+        Reader.number("logLinesPerSecond", LogLines);
+        if (LogLines && *LogLines > MostLogLines)
+          Reader.fail("logLinesPerSecond", std::to_string(*LogLines),
+                      "give at most " + std::to_string(MostLogLines));
         Reader.seconds("stopLimitS", Read.StopLimit, MostStopLimitS);
       });
+  if (LogLines)
+    Read.LogLinesPerSecond = static_cast<uint32_t>(*LogLines);
   if (Errors.empty())
     Out = std::move(Read);
   return Errors;
--- a/src/forwarder_settings.h
+++ b/src/forwarder_settings.h
@@ -28,6 +28,8 @@
   Duration MaxStoreAge = std::chrono::seconds(4);
   /// How soon a change has to be in force after the store acknowledged it.
   Duration ChangeBound = std::chrono::seconds(3);
+  /// Log lines of one kind in a second; 0 writes none.
+  uint32_t LogLinesPerSecond = 200;
   /// After this time a planned stop is ended from outside.
   Duration StopLimit = std::chrono::seconds(6);
   bool operator==(const ForwarderSettings &) const = default;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include "command_apply.h"
 #include "command_check.h"
 #include "command_drain.h"
+#include "command_explain.h"
 #include "command_serve.h"
 #include "command_show.h"
 #include "command_status.h"
@@ -27,6 +28,8 @@
     Command{"show", "show a configuration", indigopoint::runShow},
     Command{"status", "show the state of a running instance",
             indigopoint::runStatus},
+    Command{"explain", "tell the story of a flow from event logs",
+            indigopoint::runExplain},
     Command{"drain", "stop a running instance gracefully",
             indigopoint::runDrain},
     Command{"version", "print the version", indigopoint::runVersion},
--- a/tests/forwarder_settings_test.cpp
+++ b/tests/forwarder_settings_test.cpp
@@ -19,7 +19,8 @@
   const auto Errors = parseForwarderSettings("{" + Minimal + R"(, // a comment
         "peerAddress": "10.1.0.1:8166", "seeds": ["10.2.0.1:8166"],
         "metricsAddress": "10.1.0.1:7720",
-        "maxStoreAgeMs": 4000.0, "changeBoundMs": 2500, "stopLimitS": 6.5})",
+        "maxStoreAgeMs": 4000.0, "changeBoundMs": 2500,
+        "logLinesPerSecond": 7, "stopLimitS": 6.5})",
                                              "s.json", Got);
   ASSERT_TRUE(Errors.empty()) << toString(Errors[0]);
   EXPECT_EQ(Got.Name, "lim-a-1");
@@ -32,6 +33,7 @@
   EXPECT_EQ(toString(Got.MetricsAddress), "10.1.0.1:7720");
   EXPECT_EQ(Got.MaxStoreAge, std::chrono::seconds(4));
   EXPECT_EQ(Got.ChangeBound, std::chrono::milliseconds(2500));
+  EXPECT_EQ(Got.LogLinesPerSecond, 7U);
   EXPECT_EQ(Got.StopLimit, std::chrono::milliseconds(6500));
 }
 
