Let the fuzz oracle know that an upstream was taken back

After Undrain the oracle had no time of the drain and took the epoch for it, so an instance that still had the drain in force, within its grace, seemed 3,608 s late.

Ruled out: a stale belief of the instance (it is within the 5 s in which a change comes into force) and a missed undrain.

Change: without an accepted drain only the instance's own one counts, with the same bound.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -208,7 +208,11 @@
   if (InForce == DrainSeen.end())
     return;
   const Duration Here = Net.Time.Now - InForce->second;
-  const Duration Since = Net.Time.Now - DrainAccepted[Target.Config.Id];
+  // The operators may have taken the upstream back, which this instance does
+  // not know yet. Then only its own drain counts.
+  const auto Accepted = DrainAccepted.find(Target.Config.Id);
+  const Duration Since =
+      Accepted == DrainAccepted.end() ? Here : Net.Time.Now - Accepted->second;
   if (Here > DrainBound || Since > InForceBound + DrainBound)
     violate("P6: " + From + " sent new work to " + Target.Config.Name + " " +
             std::to_string(Since.count() / 1000) +
