Check an upstream against a control; let fast links read for others

Instance front-lim-b-15, on a link of 10 Mbit/s, read the store for 19 others.

Answers of others within 500 ms were no proof, since packets that were queued before still went through.

Change: a check makes two connections to the upstream and one to the upstream that answered last; without that control there is no verdict. Peers tell their link speed, and one of the fastest in a zone reads.

--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -67,7 +67,16 @@
   std::string openReport();
   ForwarderView view() const;
   void logSilence(const FlowAddress &Flow, const Upstream &Silent);
+  // Connections that tell together whether an upstream is there.
+  struct UpstreamCheck {
+    UpstreamId Id;
+    int Outstanding = 3;
+    bool IsAccepting = false;
+    bool IsControlAccepting = false;
+  };
+
   void check(const Upstream &Given);
+  void finishCheck(UpstreamCheck &Given);
   void onCheck(UpstreamId Id, bool IsAccepting);
   void startReceiving();
   void receive(std::string_view Datagram);
@@ -200,13 +209,35 @@
   });
 }
 
+// A second connection covers a lost packet. A third one goes to an upstream
+// that answered lately: if it fails as well, the fault is on this side, such as
+// a link that is filled up.
 void Forwarder::State::check(const Upstream &Given) {
-  Checks.start(Given.Registration.Address, CheckTimeout,
-               [this, Id = Given.Registration.Id](bool IsAccepting) {
-                 onCheck(Id, IsAccepting);
+  const Upstream *Control = Upstreams.lastAnswering(Given);
+  if (Control == nullptr)
+    return;
+  auto Running = std::make_shared<UpstreamCheck>();
+  Running->Id = Given.Registration.Id;
+  const auto OnSuspect = [this, Running](bool IsAccepting) {
+    Running->IsAccepting |= IsAccepting;
+    finishCheck(*Running);
+  };
+  Checks.start(Given.Registration.Address, CheckTimeout, OnSuspect);
+  Checks.start(Given.Registration.Address, CheckTimeout, OnSuspect);
+  Checks.start(Control->Registration.Address, CheckTimeout,
+               [this, Running](bool IsAccepting) {
+                 Running->IsControlAccepting = IsAccepting;
+                 finishCheck(*Running);
                });
 }
 
+void Forwarder::State::finishCheck(UpstreamCheck &Given) {
+  if (--Given.Outstanding > 0)
+    return;
+  if (Given.IsAccepting || Given.IsControlAccepting)
+    onCheck(Given.Id, Given.IsAccepting);
+}
+
 void Forwarder::State::onCheck(UpstreamId Id, bool IsAccepting) {
   Time.refresh();
   Steering.noteCheck(Id, IsAccepting);
--- a/src/forwarder_settings.cpp
+++ b/src/forwarder_settings.cpp
@@ -8,7 +8,8 @@
 constexpr uint64_t LeastStoreAgeMs = 1500;
 constexpr uint64_t LeastBoundMs = 1000;
 constexpr uint64_t MostStoreAgeMs = 30'000;
-constexpr uint64_t MostLogLines = 100'000;
+constexpr uint32_t MostLogLines = 100'000;
+constexpr uint32_t MostLinkMbps = 10'000'000;
 constexpr uint32_t MostStopLimitS = 600;
 
 } // namespace
@@ -17,7 +18,6 @@
                                                   const std::string &File,
                                                   ForwarderSettings &Out) {
   ForwarderSettings Read;
-  std::optional<uint64_t> LogLines;
   std::vector<SettingsError> Errors =
       readSettingsText(Text, File, [&](SettingsReader &Reader) {
         Reader.text("name", Read.Name, true);
@@ -32,14 +32,10 @@
                             MostStoreAgeMs);
         Reader.milliseconds("changeBoundMs", Read.ChangeBound, LeastBoundMs,
                             MostStoreAgeMs);
-        Reader.number("logLinesPerSecond", LogLines);
-        if (LogLines && *LogLines > MostLogLines)
-          Reader.fail("logLinesPerSecond", std::to_string(*LogLines),
-                      "give at most " + std::to_string(MostLogLines));
+        Reader.whole("logLinesPerSecond", Read.LogLinesPerSecond, MostLogLines);
+        Reader.whole("linkMbps", Read.LinkMbps, MostLinkMbps);
         Reader.seconds("stopLimitS", Read.StopLimit, MostStopLimitS);
       });
-  if (LogLines)
-    Read.LogLinesPerSecond = static_cast<uint32_t>(*LogLines);
   if (Errors.empty())
     Out = std::move(Read);
   return Errors;
--- a/src/forwarder_settings.h
+++ b/src/forwarder_settings.h
@@ -28,6 +28,8 @@
   Duration MaxStoreAge = std::chrono::seconds(4);
   /// How soon a change has to be in force after the store acknowledged it.
   Duration ChangeBound = std::chrono::seconds(3);
+  /// Of the machine's link. Faster ones read the store for others.
+  uint32_t LinkMbps = 0;
   /// Log lines of one kind in a second; 0 writes none.
   uint32_t LogLinesPerSecond = 200;
   /// After this time a planned stop is ended from outside.
--- a/src/gen/protocol_types.cpp
+++ b/src/gen/protocol_types.cpp
@@ -2144,12 +2144,17 @@
   this->age = val;
 }
 
+void PeerEntry::__set_linkMbps(const int32_t val) {
+  this->linkMbps = val;
+}
+
 void swap(PeerEntry &a, PeerEntry &b) {
   using ::std::swap;
   swap(a.address, b.address);
   swap(a.port, b.port);
   swap(a.zone, b.zone);
   swap(a.age, b.age);
+  swap(a.linkMbps, b.linkMbps);
   swap(a.__isset, b.__isset);
 }
 
@@ -2158,6 +2163,7 @@
   port = other188.port;
   zone = other188.zone;
   age = other188.age;
+  linkMbps = other188.linkMbps;
   __isset = other188.__isset;
 }
 PeerEntry::PeerEntry(PeerEntry&& other189) noexcept {
@@ -2165,6 +2171,7 @@
   port = other189.port;
   zone = std::move(other189.zone);
   age = other189.age;
+  linkMbps = other189.linkMbps;
   __isset = other189.__isset;
 }
 PeerEntry& PeerEntry::operator=(const PeerEntry& other190) {
@@ -2172,6 +2179,7 @@
   port = other190.port;
   zone = other190.zone;
   age = other190.age;
+  linkMbps = other190.linkMbps;
   __isset = other190.__isset;
   return *this;
 }
@@ -2180,6 +2188,7 @@
   port = other191.port;
   zone = std::move(other191.zone);
   age = other191.age;
+  linkMbps = other191.linkMbps;
   __isset = other191.__isset;
   return *this;
 }
--- a/src/gen/protocol_types.h
+++ b/src/gen/protocol_types.h
@@ -2357,11 +2357,12 @@
 std::ostream& operator<<(std::ostream& out, const PeerItem& obj);
 
 typedef struct _PeerEntry__isset {
-  _PeerEntry__isset() : address(false), port(false), zone(false), age(false) {}
+  _PeerEntry__isset() : address(false), port(false), zone(false), age(false), linkMbps(false) {}
   bool address :1;
   bool port :1;
   bool zone :1;
   bool age :1;
+  bool linkMbps :1;
 } _PeerEntry__isset;
 
 class PeerEntry {
@@ -2375,7 +2376,8 @@
             : address(0),
               port(0),
               zone(),
-              age(0) {
+              age(0),
+              linkMbps(0) {
   }
 
   virtual ~PeerEntry() noexcept;
@@ -2383,6 +2385,7 @@
   int32_t port;
   std::string zone;
   int64_t age;
+  int32_t linkMbps;
 
   _PeerEntry__isset __isset;
 
@@ -2394,6 +2397,8 @@
 
   void __set_age(const int64_t val);
 
+  void __set_linkMbps(const int32_t val);
+
   bool operator == (const PeerEntry & rhs) const
   {
     if (!(address == rhs.address))
@@ -2404,6 +2409,8 @@
       return false;
     if (!(age == rhs.age))
       return false;
+    if (!(linkMbps == rhs.linkMbps))
+      return false;
     return true;
   }
   bool operator != (const PeerEntry &rhs) const {
--- a/src/gen/protocol_types.tcc
+++ b/src/gen/protocol_types.tcc
@@ -3660,6 +3660,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->linkMbps);
+          this->__isset.linkMbps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3694,6 +3702,10 @@
   xfer += oprot->writeI64(this->age);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("linkMbps", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->linkMbps);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -55,14 +55,16 @@
   Out.port = Given.Address.Port;
   Out.zone = Given.Zone;
   Out.age = Given.Age.count();
+  Out.linkMbps = static_cast<int32_t>(Given.LinkMbps);
   return Out;
 }
 
 PeerNews fromWire(wire::PeerEntry &Given) {
-  return {
-      {static_cast<uint32_t>(Given.address), static_cast<uint16_t>(Given.port)},
-      std::move(Given.zone),
-      Duration(Given.age)};
+  return {{static_cast<uint32_t>(Given.address),
+           static_cast<uint16_t>(Given.port)},
+          std::move(Given.zone),
+          Duration(Given.age),
+          static_cast<uint32_t>(Given.linkMbps)};
 }
 
 bool isAgeValid(int64_t Age) {
@@ -76,22 +78,26 @@
          "?after=" + std::to_string(Asked.AfterRevision) +
          "&wait_ms=" + std::to_string(millisecondsOf(Asked.Wait)) +
          "&from=" + encodePath(toString(Asked.Self.Address)) +
-         "&zone=" + encodePath(Asked.Self.Zone);
+         "&zone=" + encodePath(Asked.Self.Zone) +
+         "&link_mbps=" + std::to_string(Asked.Self.LinkMbps);
 }
 
 std::optional<PeerQuestion>
 decodePeerQuestion(const std::map<std::string, std::string> &Query) {
   PeerQuestion Out;
   uint64_t WaitMs = 0;
+  uint64_t LinkMbps = 0;
   const auto From = Query.find("from");
   const auto Zone = Query.find("zone");
   if (!readNumber(Query, "after", Out.AfterRevision) ||
       !readNumber(Query, "wait_ms", WaitMs) || WaitMs > MostMs ||
+      !readNumber(Query, "link_mbps", LinkMbps) || LinkMbps > UINT32_MAX ||
       From == Query.end() || Zone == Query.end() ||
       !parseEndpoint(From->second, Out.Self.Address))
     return std::nullopt;
   Out.Wait = std::chrono::milliseconds(WaitMs);
   Out.Self.Zone = Zone->second;
+  Out.Self.LinkMbps = static_cast<uint32_t>(LinkMbps);
   return Out;
 }
 
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -22,10 +22,9 @@
 
 } // namespace
 
-PeerTable::PeerTable(Endpoint Self, std::string Zone,
-                     std::vector<Endpoint> Seeds, const Clock &Time,
-                     RandomSource &Random)
-    : Self(Self), Zone(std::move(Zone)), Seeds(std::move(Seeds)), Time(Time),
+PeerTable::PeerTable(PeerNews Self, std::vector<Endpoint> Seeds,
+                     const Clock &Time, RandomSource &Random)
+    : Self(std::move(Self)), Seeds(std::move(Seeds)), Time(Time),
       Random(Random) {}
 
 bool PeerTable::isUsable(const Entry &Given) const {
@@ -33,10 +32,12 @@
 }
 
 void PeerTable::note(const PeerNews &News) {
-  if (News.Address == Self || News.Address.Port == 0 || News.Age > Memory)
+  if (News.Address == Self.Address || News.Address.Port == 0 ||
+      News.Age > Memory)
     return;
   Entry &Known = Peers[News.Address];
   Known.Zone = News.Zone;
+  Known.LinkMbps = News.LinkMbps;
   Known.HeardAt = std::max(Known.HeardAt, Time.now() - News.Age);
   std::erase_if(Peers, [this](const auto &Each) {
     return Time.now() - Each.second.HeardAt > Memory;
@@ -55,25 +56,32 @@
   for (const bool SameZone : {true, false})
     for (const auto &[Address, Known] : Peers)
       if ((Known.Zone == ForZone) == SameZone && Out.size() < Most)
-        Out.push_back({Address, Known.Zone, Time.now() - Known.HeardAt});
+        Out.push_back(
+            {Address, Known.Zone, Time.now() - Known.HeardAt, Known.LinkMbps});
   return Out;
 }
 
 size_t PeerTable::zoneSize() const {
   return 1 +
          std::count_if(Peers.begin(), Peers.end(), [this](const auto &Each) {
-           return Each.second.Zone == Zone && isUsable(Each.second);
+           return Each.second.Zone == Self.Zone && isUsable(Each.second);
          });
 }
 
 Endpoint PeerTable::zoneReader() const {
-  const uint64_t Key = std::hash<std::string>{}(Zone);
-  Endpoint Best = Self;
-  for (const auto &[Address, Known] : Peers)
-    if (Known.Zone == Zone && isUsable(Known) &&
-        rendezvousScore(Key, keyOf(Address)) >
-            rendezvousScore(Key, keyOf(Best)))
-      Best = Address;
+  const uint64_t Key = std::hash<std::string>{}(Self.Zone);
+  const auto Rank = [Key](Endpoint Address, uint32_t LinkMbps) {
+    return std::pair(LinkMbps, rendezvousScore(Key, keyOf(Address)));
+  };
+  Endpoint Best = Self.Address;
+  auto BestRank = Rank(Best, Self.LinkMbps);
+  for (const auto &[Address, Known] : Peers) {
+    if (Known.Zone != Self.Zone || !isUsable(Known) ||
+        Rank(Address, Known.LinkMbps) <= BestRank)
+      continue;
+    Best = Address;
+    BestRank = Rank(Address, Known.LinkMbps);
+  }
   return Best;
 }
 
@@ -86,7 +94,7 @@
     for (const auto &[Address, Known] : Peers)
       if (isUsable(Known))
         Candidates.push_back(Address);
-  std::erase(Candidates, Self);
+  std::erase(Candidates, Self.Address);
   if (Candidates.empty())
     return std::nullopt;
   return Candidates[Random.below(Candidates.size())];
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -17,13 +17,16 @@
   std::string Zone;
   /// Since it was last heard from.
   Duration Age{};
+  /// Of its link, in Mbit/s.
+  uint32_t LinkMbps = 0;
+  bool operator==(const PeerNews &) const = default;
 };
 
 /// The other instances that were heard of lately.
 class PeerTable {
 public:
-  PeerTable(Endpoint Self, std::string Zone, std::vector<Endpoint> Seeds,
-            const Clock &Time, RandomSource &Random);
+  PeerTable(PeerNews Self, std::vector<Endpoint> Seeds, const Clock &Time,
+            RandomSource &Random);
 
   void setSeeds(std::vector<Endpoint> Given) { Seeds = std::move(Given); }
 
@@ -40,8 +43,9 @@
   size_t zoneSize() const;
 
   /// The instance of the own zone that reads the store for the others; this
-  /// one if it is its own address. All members choose alike once they know of
-  /// each other.
+  /// one if it is its own address. It has one of the fastest links, since each
+  /// change goes from there to all others. All members choose alike once they
+  /// know of each other.
   Endpoint zoneReader() const;
 
   /// The next instance to exchange news with: seeds and known peers in turn.
@@ -54,12 +58,12 @@
     std::string Zone;
     TimePoint HeardAt{};
     TimePoint AvoidUntil{};
+    uint32_t LinkMbps = 0;
   };
 
   bool isUsable(const Entry &Given) const;
 
-  Endpoint Self;
-  std::string Zone;
+  PeerNews Self;
   std::vector<Endpoint> Seeds;
   const Clock &Time;
   RandomSource &Random;
--- a/src/protocol.thrift
+++ b/src/protocol.thrift
@@ -338,6 +338,7 @@
   2: i32 port
   3: string zone
   4: i64 age
+  5: i32 linkMbps
 }
 
 struct PeerState {
--- a/src/settings_reader.cpp
+++ b/src/settings_reader.cpp
@@ -101,6 +101,20 @@
     Out = std::chrono::milliseconds(static_cast<int64_t>(Number));
 }
 
+void SettingsReader::whole(const std::string &Key, uint32_t &Out,
+                           uint32_t Most) {
+  const Json *Value = find(Key);
+  if (Value == nullptr)
+    return;
+  // Writers of JSON may give a whole number a fraction of zero.
+  const double Number = Value->is_number() ? Value->get<double>() : -1;
+  if (Number != std::floor(Number) || Number < 0 || Number > Most)
+    fail(Key, Value->dump(),
+         "give a whole number from 0 to " + std::to_string(Most));
+  else
+    Out = static_cast<uint32_t>(Number);
+}
+
 void SettingsReader::seconds(const std::string &Key, Duration &Out,
                              uint32_t Most) {
   const Json *Value = find(Key);
--- a/src/settings_reader.h
+++ b/src/settings_reader.h
@@ -45,6 +45,9 @@
   void milliseconds(const std::string &Key, Duration &Out, uint64_t Least,
                     uint64_t Most);
 
+  /// A whole number from 0 to \p Most.
+  void whole(const std::string &Key, uint32_t &Out, uint32_t Most);
+
   /// A number from 0 to \p Most, fractions allowed.
   void seconds(const std::string &Key, Duration &Out, uint32_t Most);
 
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -23,6 +23,10 @@
   return (uint64_t{Device()} << 32) | Device();
 }
 
+PeerNews newsOf(const ForwarderSettings &Settings) {
+  return {Settings.PeerAddress, Settings.Zone, Duration(), Settings.LinkMbps};
+}
+
 int64_t millisecondsOf(Duration Given) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Given).count();
 }
@@ -67,12 +71,12 @@
                             EventLog &Log, UpdateHook OnUpdate)
     : Loop(Loop), Store(Settings.Store), Protocol(std::move(Protocol)),
       Time(Time), Log(Log), OnUpdate(std::move(OnUpdate)), Http(Loop),
-      Peers(Settings.PeerAddress, Settings.Zone, Settings.Seeds, Time, Random),
-      Sync(Time, Random), Planner({Settings.PeerAddress, Settings.MaxStoreAge,
-                                   Settings.ChangeBound},
-                                  Time, Peers),
-      Exchange(Loop, Http, {Settings.PeerAddress, Settings.Zone, Duration()},
-               Peers, Mirror, [this] { return age(); }) {}
+      Peers(newsOf(Settings), Settings.Seeds, Time, Random), Sync(Time, Random),
+      Planner(
+          {Settings.PeerAddress, Settings.MaxStoreAge, Settings.ChangeBound},
+          Time, Peers),
+      Exchange(Loop, Http, newsOf(Settings), Peers, Mirror,
+               [this] { return age(); }) {}
 
 void StoreFollower::State::advance() {
   Time.refresh();
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -108,6 +108,16 @@
   return Found;
 }
 
+const Upstream *UpstreamRegistry::lastAnswering(const Upstream &Given) const {
+  const Upstream *Last = nullptr;
+  for (const auto &[Id, Entry] : Upstreams)
+    if (&Entry != &Given && Entry.State != UpstreamState::Unregistered &&
+        Entry.Reach.lastAnswer() >
+            (Last == nullptr ? TimePoint() : Last->Reach.lastAnswer()))
+      Last = &Entry;
+  return Last;
+}
+
 bool UpstreamRegistry::isGone(const Upstream &Given) const {
   return Given.State == UpstreamState::Unregistered &&
          ConfirmedAt - Given.UnregisteredAt >= ReturnTime &&
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -86,6 +86,10 @@
   /// tags of several agree, the one that registered first.
   Upstream *findByTag(const FlowAddress &Flow, FlowTag Tag);
 
+  /// The registered upstream other than \p Given whose clients made progress
+  /// last; null if none did.
+  const Upstream *lastAnswering(const Upstream &Given) const;
+
   /// The store confirmed what is known at \p When.
   void noteConfirmed(TimePoint When) { ConfirmedAt = When; }
 
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -17,8 +17,8 @@
 protected:
   struct Instance {
     explicit Instance(EventLoop &Loop, Endpoint Address)
-        : Peers(Address, "a", {}, Time, Random), Http(Loop),
-          Exchange(Loop, Http, {Address, "a", 0s}, Peers, Mirror,
+        : Peers({Address, "a", 0s, 100}, {}, Time, Random), Http(Loop),
+          Exchange(Loop, Http, {Address, "a", 0s, 100}, Peers, Mirror,
                    [] { return 700ms; }) {}
 
     ManualClock Time;
@@ -42,7 +42,7 @@
   StoreResult ask(uint64_t After, Duration Wait) {
     StoreResult Got;
     bool Done = false;
-    Asker.Exchange.ask(Address(), After, Wait, 2s, [&](StoreResult Result) {
+    Asker.Exchange.ask(target(), After, Wait, 2s, [&](StoreResult Result) {
       Got = std::move(Result);
       Done = true;
     });
@@ -50,12 +50,12 @@
     return Got;
   }
 
-  Endpoint Address() { return TellerAddress; }
+  Endpoint target() { return TellerAddress; }
 
   void SetUp() override {
     TellerAddress = freePort(Loop);
     TellerExchange = std::make_unique<PeerExchange>(
-        Loop, Teller.Http, PeerNews{TellerAddress, "a", 0s}, Teller.Peers,
+        Loop, Teller.Http, PeerNews{TellerAddress, "a", 0s, 100}, Teller.Peers,
         Teller.Mirror, [] { return 700ms; });
     ASSERT_FALSE(TellerExchange->open());
   }
@@ -90,7 +90,7 @@
   Teller.Mirror.apply({true, {}}, 9);
   bool Done = false;
   StoreResult Got;
-  Asker.Exchange.ask(Address(), 9, 5s, 5s, [&](StoreResult Result) {
+  Asker.Exchange.ask(target(), 9, 5s, 5s, [&](StoreResult Result) {
     Got = std::move(Result);
     Done = true;
   });
@@ -115,22 +115,46 @@
   EXPECT_FALSE(decodePeerQuestion({{"after", "x"},
                                    {"wait_ms", "1"},
                                    {"from", "1.2.3.4:5"},
+                                   {"link_mbps", "10"},
                                    {"zone", "a"}}));
   EXPECT_FALSE(decodePeerQuestion({{"after", "1"},
                                    {"wait_ms", "99999999"},
                                    {"from", "1.2.3.4:5"},
+                                   {"link_mbps", "10"},
                                    {"zone", "a"}}));
   EXPECT_TRUE(decodePeerQuestion({{"after", "1"},
                                   {"wait_ms", "1"},
                                   {"from", "1.2.3.4:5"},
+                                  {"link_mbps", "10"},
                                   {"zone", "a"}}));
 }
 
+// A link speed that was lost on the way made every instance its own reader.
+TEST(PeerCodec, QuestionsAndAnswersArriveWhole) {
+  const PeerNews News{{0x7f000001, 65535}, "a b&c", 3s, 4'000'000'000};
+  PeerAnswer Answer;
+  Answer.Changes.Revision = 7;
+  Answer.Changes.Age = 5s;
+  Answer.Changes.Items = {{"key", std::string("\0\xff", 2), 3, 2, true}};
+  Answer.Peers = {News};
+  const auto Got = decodePeerAnswer(encodePeerAnswer(Answer));
+  ASSERT_TRUE(Got);
+  EXPECT_EQ(Got->Changes.Revision, 7U);
+  EXPECT_EQ(Got->Changes.Age, 5s);
+  ASSERT_EQ(Got->Changes.Items.size(), 1U);
+  EXPECT_EQ(Got->Changes.Items[0].Value, Answer.Changes.Items[0].Value);
+  EXPECT_TRUE(Got->Changes.Items[0].Deleted);
+  EXPECT_EQ(Got->Peers, std::vector<PeerNews>({News}));
+  EXPECT_EQ(encodePeerQuestion({9, 50ms, News}),
+            "/peer?after=9&wait_ms=50&from=127.0.0.1%3A65535&zone=a%20b%26c"
+            "&link_mbps=4000000000");
+}
+
 TEST(PeerCodec, DamagedAnswersDoNoHarm) {
   PeerAnswer Answer;
   Answer.Changes.Revision = 7;
   Answer.Changes.Items = {{"key", "value", 3, 2, false}};
-  Answer.Peers = {{{1, 2}, "a", 3s}};
+  Answer.Peers = {{{1, 2}, "a", 3s, 10}};
   const std::string Good = encodePeerAnswer(Answer);
   ASSERT_TRUE(decodePeerAnswer(Good));
   std::mt19937 Random(5);
--- a/tests/peer_table_test.cpp
+++ b/tests/peer_table_test.cpp
@@ -11,10 +11,15 @@
 
 using namespace std::chrono_literals;
 
+PeerNews news(uint32_t Address, const std::string &Zone, Duration Age = 0s,
+              uint32_t LinkMbps = 100) {
+  return {{Address, 9}, Zone, Age, LinkMbps};
+}
+
 class PeerTableTest : public testing::Test {
 protected:
   PeerTable table(uint32_t Self, std::vector<Endpoint> Seeds = {}) {
-    return {{Self, 9}, "a", std::move(Seeds), Time, Random};
+    return {news(Self, "a"), std::move(Seeds), Time, Random};
   }
 
   ManualClock Time;
@@ -28,8 +33,8 @@
   for (uint32_t Self = 1; Self <= 8; ++Self) {
     PeerTable Table = table(Self);
     for (uint32_t Other = 1; Other <= 8; ++Other)
-      Table.note({{Other, 9}, "a", 0s});
-    Table.note({{100, 9}, "b", 0s});
+      Table.note(news(Other, "a", 0s));
+    Table.note(news(100, "b", 0s));
     Readers.insert(Table.zoneReader());
     EXPECT_EQ(Table.zoneSize(), 8U);
   }
@@ -39,7 +44,7 @@
 TEST_F(PeerTableTest, AReaderThatFailsIsReplacedForAWhile) {
   PeerTable Table = table(100);
   for (uint32_t Other = 2; Other <= 90; ++Other)
-    Table.note({{Other, 9}, "a", 0s});
+    Table.note(news(Other, "a", 0s));
   const Endpoint First = Table.zoneReader();
   ASSERT_NE(First, (Endpoint{100, 9}));
   Table.noteFailure(First);
@@ -50,17 +55,26 @@
 
 TEST_F(PeerTableTest, AnInstanceThatIsNotHeardOfIsForgotten) {
   PeerTable Table = table(1);
-  Table.note({{2, 9}, "a", 0s});
+  Table.note(news(2, "a", 0s));
   Time.advance(21s);
   EXPECT_EQ(Table.zoneSize(), 1U);
-  Table.note({{3, 9}, "a", 0s});
+  Table.note(news(3, "a", 0s));
   EXPECT_EQ(Table.size(), 1U);
 }
 
+// A reader with a slow link filled it with one change for all others, and lost
+// the packets of its clients meanwhile.
+TEST_F(PeerTableTest, AFastLinkReadsForTheOthers) {
+  PeerTable Table = table(1);
+  for (uint32_t Other = 2; Other <= 20; ++Other)
+    Table.note(news(Other, "a", 0s, Other == 7 ? 200 : 10));
+  EXPECT_EQ(Table.zoneReader(), (Endpoint{7, 9}));
+}
+
 // News that go round must not keep a dead instance alive.
 TEST_F(PeerTableTest, NewsKeepTheirAge) {
   PeerTable Table = table(1);
-  Table.note({{2, 9}, "a", 15s});
+  Table.note(news(2, "a", 15s));
   Time.advance(4s);
   ASSERT_EQ(Table.news("a", 10).size(), 1U);
   EXPECT_EQ(Table.news("a", 10)[0].Age, 19s);
@@ -71,7 +85,7 @@
 TEST_F(PeerTableTest, NewsOfTheAskersZoneComeFirst) {
   PeerTable Table = table(1);
   for (uint32_t Other = 2; Other <= 5; ++Other)
-    Table.note({{Other, 9}, Other % 2 == 0 ? "a" : "b", 0s});
+    Table.note(news(Other, Other % 2 == 0 ? "a" : "b", 0s));
   const auto News = Table.news("b", 2);
   ASSERT_EQ(News.size(), 2U);
   EXPECT_EQ(News[0].Zone, "b");
@@ -80,8 +94,8 @@
 
 TEST_F(PeerTableTest, ContactsAreSeedsAndPeersButNeverItself) {
   PeerTable Table = table(1, {{1, 9}, {50, 9}});
-  Table.note({{2, 9}, "a", 0s});
-  Table.note({{1, 9}, "a", 0s});
+  Table.note(news(2, "a", 0s));
+  Table.note(news(1, "a", 0s));
   std::set<Endpoint> Asked;
   for (int Turn = 0; Turn < 20; ++Turn)
     if (const auto Peer = Table.nextContact())
--- a/tests/sync_planner_test.cpp
+++ b/tests/sync_planner_test.cpp
@@ -27,7 +27,7 @@
 
   void knowPeers(uint32_t Count) {
     for (uint32_t Other = 2; Other < 2 + Count; ++Other)
-      Peers.note({{Other, 9}, "a", 0s});
+      Peers.note({{Other, 9}, "a", 0s, 100});
   }
 
   // A zone in which another instance reads for all.
@@ -38,7 +38,7 @@
 
   ManualClock Time;
   RandomSource Random{1};
-  PeerTable Peers{{1, 9}, "a", {{77, 9}}, Time, Random};
+  PeerTable Peers{{{1, 9}, "a", 0s, 100}, {{77, 9}}, Time, Random};
   StoreSync Sync{Time, Random};
   SyncPlanner Planner{{{1, 9}, 4s, 3s}, Time, Peers};
 };
--- a/tests/upstream_registry_test.cpp
+++ b/tests/upstream_registry_test.cpp
@@ -116,6 +116,19 @@
   EXPECT_TRUE(Registry.isAddressReused(*Registry.find(UpstreamId(1))));
 }
 
+// The control of a check has to be an upstream that is known to answer.
+TEST(UpstreamRegistry, FindsTheOtherUpstreamThatAnsweredLast) {
+  UpstreamRegistry Registry;
+  for (const uint64_t Id : {1, 2, 3})
+    Registry.put(registration(Id, "chat"), Id, Start);
+  const Upstream &First = *Registry.find(UpstreamId(1));
+  EXPECT_EQ(Registry.lastAnswering(First), nullptr);
+  Registry.find(UpstreamId(1))->Reach.noteAnswer(Start + 9s);
+  Registry.find(UpstreamId(2))->Reach.noteAnswer(Start + 3s);
+  Registry.find(UpstreamId(3))->Reach.noteAnswer(Start + 5s);
+  EXPECT_EQ(Registry.lastAnswering(First)->Registration.Id, UpstreamId(3));
+}
+
 // 0 means that there is no tag.
 TEST(FlowTags, AreNeverZero) {
   FlowAddress Each = Flow;
