--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,6 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 build=$1
+scripts/check_platform_words.sh
 files=$(git ls-files -co --exclude-standard '*.cpp' '*.h' | grep -v '^src/gen/')
 # shellcheck disable=SC2086
 clang-format --dry-run --Werror $files
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -60,11 +60,11 @@
 }
 
 PeerNews fromWire(wire::PeerEntry &Given) {
-  return {{static_cast<uint32_t>(Given.address),
-           static_cast<uint16_t>(Given.port)},
-          std::move(Given.zone),
-          Duration(Given.age),
-          static_cast<uint32_t>(Given.linkMbps)};
+  return {
+      {static_cast<uint32_t>(Given.address), static_cast<uint16_t>(Given.port)},
+      std::move(Given.zone),
+      Duration(Given.age),
+      static_cast<uint32_t>(Given.linkMbps)};
 }
 
 bool isAgeValid(int64_t Age) {
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -122,7 +122,7 @@
     Revision = Result.Revision;
   std::move(Result.Items.begin(), Result.Items.end(),
             std::back_inserter(Pages));
-  if (Result.HasMore && !Result.Items.empty())
+  if (Result.MorePages && !Result.Items.empty())
     return std::nullopt;
   TakingSnapshot = false;
   Synced = true;
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -67,7 +67,7 @@
   /// The store's revision at the answer.
   uint64_t Revision = 0;
   /// More pages follow.
-  bool HasMore = false;
+  bool MorePages = false;
   /// A peer sent all that the store holds.
   bool Complete = false;
   /// How long ago a peer last heard from the store.
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -74,7 +74,7 @@
 TEST_F(StoreSyncTest, WatchesFromTheRevisionOfTheFirstPage) {
   ASSERT_TRUE(next());
   StoreResult First = answered(10, {item("a", 5)});
-  First.HasMore = true;
+  First.MorePages = true;
   EXPECT_FALSE(Sync.onResult(First));
   const StoreQuery Second = nextCall();
   EXPECT_EQ(Second.AfterKey, "a");
@@ -187,7 +187,7 @@
 TEST_F(StoreSyncTest, APeersSnapshotReplacesPagesOfTheStore) {
   nextCall();
   StoreResult First = answered(10, {item("gone", 5)});
-  First.HasMore = true;
+  First.MorePages = true;
   Sync.onResult(First);
   nextCall();
   Sync.onResult(failed(StoreResult::Status::Failed));
