--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 SECONDS_OF_TRAFFIC ?= 20
 
-.PHONY: deps build test lint format generate sanitize demo measure bench fuzz clean
+.PHONY: deps build test lint format generate sanitize demo forward-demo measure bench fuzz clean
 
 deps:
 	@scripts/install_packages.sh
@@ -36,6 +36,9 @@
 demo: build
 	@scripts/demo.sh $(BUILD) $(DEPLOYMENT) $(SECONDS_OF_TRAFFIC)
 
+forward-demo: build
+	@python3 scripts/forward_demo.py $(BUILD)/indigopoint
+
 measure: build
 	@$(BUILD)/indigopoint_measure --output $(BUILD)/measure.json
 
--- /dev/null
+++ b/scripts/forward_demo.py
@@ -0,0 +1,154 @@
+"""Runs real forwarder processes against the stand-in of the users' platform and
+checks the promises on flows. Usage: forward_demo.py PROGRAM"""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import urllib.error
+import urllib.request
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "standins"))
+from flow_platform import RESET, Client, Store, Upstream, wait_until  # noqa: E402
+
+CHAT = ("198.18.0.1", 443)
+PHOTOS = ("198.18.0.1", 8443)
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Instance:
+    """One forwarder process."""
+
+    def __init__(self, program, folder, name, address, data_port, store):
+        self.program, self.data = program, (address, data_port)
+        self.ready = "%s:%d" % (address, free_port())
+        self.settings = folder / (name + ".json")
+        self.log = folder / (name + ".log")
+        self.settings.write_text(json.dumps({
+            "name": name, "zone": "zone-a", "dataAddress": "%s:%d" % self.data,
+            "readyAddress": self.ready, "store": store, "peerAddress": "%s:%d" % (
+                address, free_port()), "stopLimitS": 4}))
+        self.start()
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(
+                [self.program, "forward", "--settings", str(self.settings)], stdout=log)
+
+    def is_ready(self):
+        try:
+            return urllib.request.urlopen("http://%s/readiness" % self.ready).status == 200
+        except (urllib.error.URLError, ConnectionError):
+            return False
+
+
+def configuration(version, routes):
+    return {"Version": version, "Services": [], "Limits": {"IdleTimeoutMs": 15000}, "Routes": [
+        {"Name": service, "Host": host, "Prefix": "/%d/" % port, "RouteType": "idempotent",
+         "Service": service} for (host, port), service in routes.items()]}
+
+
+class Demo:
+    def __init__(self, program, folder):
+        port = free_port()
+        self.store = Store()
+        self.chats = [Upstream(0x4000000001, "127.0.3.1", port, port),
+                      Upstream(0x4000000002, "127.0.3.2", port, port)]
+        self.photos = Upstream(0x4000000003, "127.0.3.3", port, port)
+        for each in self.chats:
+            self.register(each, "chat")
+        self.register(self.photos, "photos")
+        self.store.put("op/config", configuration(1, {CHAT: "chat", PHOTOS: "photos"}))
+        self.client = Client("127.0.2.1", port)
+        self.instances = [Instance(program, folder, "instance-%d" % number,
+                                   "127.0.1.%d" % number, port, self.store.address)
+                          for number in (1, 2)]
+
+    def register(self, upstream, service, state="ready"):
+        self.store.put("servers/i-%x" % upstream.identity, upstream.registration(service, state))
+
+    def holder(self, port):
+        """The upstream that got the opening packet of a flow."""
+        return next(each for each in self.chats + [self.photos]
+                    if any(packet.source[1] == port for packet in each.received))
+
+    def reaches(self, instance, service, flow, tag, upstream, data):
+        self.client.send(instance.data, service, flow, tag, data)
+        wait_until(lambda: any(packet.data == data for packet in upstream.received),
+                   "%r reaches its upstream" % data)
+
+    def run(self):
+        first, second = self.instances
+        for each in self.instances:
+            wait_until(each.is_ready, "an instance is ready")
+        flow, answer = self.client.open(first.data, CHAT)
+        upstream = self.holder(flow)
+        assert upstream in self.chats and answer.tag != 0
+        self.reaches(first, CHAT, flow, answer.tag, upstream, b"the same instance")
+        self.reaches(second, CHAT, flow, answer.tag, upstream, b"another instance")
+        print("a flow goes on through any instance")
+
+        first.process.kill()
+        first.process.wait()
+        first.start()
+        wait_until(first.is_ready, "a killed instance is ready again")
+        self.reaches(first, CHAT, flow, answer.tag, upstream, b"after a kill")
+        print("a flow survives the kill of its instance")
+
+        self.register(upstream, "chat", "draining")
+        other = next(each for each in self.chats if each is not upstream)
+        wait_until(lambda: self.holder(self.client.open(second.data, CHAT)[0]) is other,
+                   "new flows leave a draining upstream")
+        for _ in range(10):
+            assert self.holder(self.client.open(second.data, CHAT)[0]) is other
+        self.reaches(second, CHAT, flow, answer.tag, upstream, b"while it drains")
+        print("a draining upstream keeps its flows and gets no new one")
+
+        self.store.put("op/config", configuration(2, {CHAT: "chat"}))
+        wait_until(lambda: self.client.open(second.data, PHOTOS)[1].flags == RESET,
+                   "a removed route is refused")
+        print("a removed route is refused at once")
+
+        self.store.close()
+        self.reaches(second, CHAT, flow, answer.tag, upstream, b"without the store")
+        assert self.holder(self.client.open(second.data, CHAT)[0]) is other
+        print("flows go on while the store is away")
+
+        second.process.send_signal(signal.SIGTERM)
+        wait_until(lambda: not second.is_ready(), "a stopping instance is not ready")
+        self.reaches(second, CHAT, flow, answer.tag, upstream, b"during a planned stop")
+        assert second.process.wait(timeout=5) == 0
+        lines = [json.loads(line) for line in second.log.read_text().splitlines()]
+        assert lines[0]["event"] == "started" and lines[-1]["event"] == "stopped"
+        print("a planned stop forwards, ends with code 0 and is logged")
+
+    def stop(self):
+        for each in self.instances:
+            if each.process.poll() is None:
+                each.process.kill()
+                each.process.wait()
+
+
+def main():
+    with tempfile.TemporaryDirectory() as folder:
+        demo = Demo(sys.argv[1], pathlib.Path(folder))
+        try:
+            demo.run()
+        finally:
+            demo.stop()
+    print("forward demo: all promises kept")
+
+
+if __name__ == "__main__":
+    main()
+    sys.stdout.flush()
+    os._exit(0)  # Threads of the stand-in wait for packets.
--- a/tests/store_codec_test.cpp
+++ b/tests/store_codec_test.cpp
@@ -190,7 +190,7 @@
 TEST(StoreCodec, DamagedTextDoesNoHarm) {
   const std::string Body =
       R"({"items":[{"Key":"servers/i-1","Value":"YWJj","Revision":1}],)"
-      R"("MorePages":false,"StoreRevision":1})";
+      R"("HasMore":false,"StoreRevision":1})";
   std::mt19937 Random(11);
   for (int Round = 0; Round < 5000; ++Round) {
     std::string Damaged = Random() % 2 == 0 ? Body : Registration;
