--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -1,6 +1,6 @@
 #include "forwarder.h"
 
-#include <algorithm>
+#include <optional>
 
 #include <unistd.h>
 
@@ -9,6 +9,7 @@
 #include "flow_steering.h"
 #include "forwarder_report.h"
 #include "http_server.h"
+#include "rotation_exit.h"
 #include "steady_clock.h"
 #include "udp_endpoint.h"
 #include "version.h"
@@ -21,13 +22,7 @@
 constexpr Duration MaintenancePeriod = std::chrono::milliseconds(250);
 constexpr Duration SweepPeriod = std::chrono::seconds(1);
 
-// Routers leave out an instance that has missed two questions, which they ask
-// twice a second.
-constexpr Duration RotationTime = std::chrono::milliseconds(1200);
-
-// Without packets for this long, routers send elsewhere. They go on sending
-// here when too many instances of a zone are leaving at once.
-constexpr Duration QuietTime = std::chrono::milliseconds(200);
+// How often a stopping instance looks whether it may end.
 constexpr Duration QuietCheckPeriod = std::chrono::milliseconds(50);
 
 // Packets that arrive while the first configuration is on its way wait this
@@ -37,9 +32,6 @@
 // Connections are accepted within a few milliseconds, also under load.
 constexpr Duration CheckTimeout = std::chrono::milliseconds(250);
 
-// Left of the limit of a planned stop when the process ends.
-constexpr Duration StopMargin = std::chrono::milliseconds(500);
-
 LogEvent eventOf(const SteeringDecision &Decision) {
   if (Decision.Action == SteeringAction::Reset)
     return LogEvent::FlowReset;
@@ -86,7 +78,7 @@
   void maintain();
   void stop();
   void finishStop();
-  bool isReady() const { return !Stopping && Routes.isLoaded(); }
+  bool isReady() const { return !Exit && Routes.isLoaded(); }
   EventLog::Fields beliefs() const;
 
   EventLoop &Loop;
@@ -112,8 +104,7 @@
   uint64_t NotPackets = 0;
   TimePoint SweptAt{};
   TimePoint LastPacket{};
-  TimePoint StopStarted{};
-  bool Stopping = false;
+  std::optional<RotationExit> Exit;
 };
 
 Forwarder::State::State(EventLoop &Loop, ForwarderSettings Settings,
@@ -324,24 +315,21 @@
 
 void Forwarder::State::stop() {
   Time.refresh();
-  if (Stopping)
+  if (Exit)
     return;
-  Stopping = true;
+  Exit.emplace(Time.now(), Settings.StopLimit);
   Log.write(LogEvent::Stopping, [this] {
     return EventLog::Fields{{"flows", Steering.flows()}};
   });
-  StopStarted = Time.now();
   StopTimer =
       LoopEvent::every(Loop, QuietCheckPeriod, [this] { finishStop(); });
 }
 
 void Forwarder::State::finishStop() {
   Time.refresh();
-  const Duration Stopped = Time.now() - StopStarted;
-  const bool Quiet =
-      Stopped >= RotationTime && Time.now() - LastPacket >= QuietTime;
-  if (!Quiet && Stopped < Settings.StopLimit - StopMargin)
+  if (!Exit->mayEnd(LastPacket, Time.now()))
     return;
+  const bool Quiet = Exit->isQuiet(LastPacket, Time.now());
   Log.write(LogEvent::Stopped, [&] {
     return EventLog::Fields{{"flows", Steering.flows()}, {"quiet", Quiet}};
   });
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -155,9 +155,7 @@
       {"configuration", View.Routes.version().value()},
       {"routes", View.Routes.size()},
       {"revision", View.Follower.sync().revision()},
-      {"storeAgeMs", std::chrono::duration_cast<std::chrono::milliseconds>(
-                         View.Follower.age())
-                         .count()},
+      {"storeAgeMs", millisecondsOf(View.Follower.age())},
       {"storeFailures", View.Follower.sync().failures()},
       {"peers", View.Follower.peers()},
       {"flows", View.Flows}};
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -19,10 +19,6 @@
 // A peer waits at most this long, and no belief is older than this.
 constexpr int64_t MostMs = 3'600'000;
 
-int64_t millisecondsOf(Duration Given) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Given).count();
-}
-
 bool readNumber(const std::map<std::string, std::string> &Query,
                 const char *Name, uint64_t &Out) {
   const auto Found = Query.find(Name);
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -22,10 +22,6 @@
   return Revision;
 }
 
-int64_t toMilliseconds(Duration Time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
-}
-
 } // namespace
 
 StoreAnswer toStoreAnswer(StoreCallId Call, const HttpResult &Result) {
@@ -77,7 +73,7 @@
   Request.Timeout = CallTimeout;
   if (Call.Kind == StoreCallKind::Watch) {
     Request.Target += "?after=" + std::to_string(Call.After) +
-                      "&wait_ms=" + std::to_string(toMilliseconds(Call.Wait));
+                      "&wait_ms=" + std::to_string(millisecondsOf(Call.Wait));
     Request.Timeout += Call.Wait;
   }
   Http.call(Request, [Id = Call.Id, OnAnswer = std::move(OnAnswer)](
--- a/src/random_source.h
+++ b/src/random_source.h
@@ -5,6 +5,12 @@
 
 namespace indigopoint {
 
+/// 64 bits that differ between processes.
+inline uint64_t randomBits() {
+  std::random_device Device;
+  return (uint64_t{Device()} << 32) | Device();
+}
+
 /// The random numbers of one decision engine. Equal seeds give equal runs.
 class RandomSource {
 public:
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -2,13 +2,13 @@
 
 #include <charconv>
 #include <chrono>
-#include <random>
 
 #include "event_loop.h"
 #include "health_poller.h"
 #include "http_server.h"
 #include "overloaded.h"
 #include "platform_client.h"
+#include "random_source.h"
 #include "status_report.h"
 #include "steady_clock.h"
 #include "udp_endpoint.h"
@@ -29,11 +29,6 @@
 
 constexpr std::chrono::milliseconds MaxDrainLimit(3'600'000);
 
-uint64_t randomBits() {
-  std::random_device Device;
-  return (uint64_t{Device()} << 32) | Device();
-}
-
 uint64_t wallClockMilliseconds() {
   const auto Now = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(Now).count();
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -1,7 +1,6 @@
 #include "store_follower.h"
 
 #include <algorithm>
-#include <random>
 
 #include "event_loop.h"
 #include "peer_exchange.h"
@@ -18,19 +17,10 @@
 constexpr Duration LongestContactPeriod = std::chrono::seconds(2);
 constexpr Duration ContactTimeout = std::chrono::milliseconds(500);
 
-uint64_t randomBits() {
-  std::random_device Device;
-  return (uint64_t{Device()} << 32) | Device();
-}
-
 PeerNews newsOf(const ForwarderSettings &Settings) {
   return {Settings.PeerAddress, Settings.Zone, Duration(), Settings.LinkMbps};
 }
 
-int64_t millisecondsOf(Duration Given) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Given).count();
-}
-
 } // namespace
 
 struct StoreFollower::State {
--- a/src/types.h
+++ b/src/types.h
@@ -13,6 +13,11 @@
 using Duration = std::chrono::microseconds;
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+/// Whole milliseconds, rounded towards zero.
+constexpr int64_t millisecondsOf(Duration Given) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Given).count();
+}
+
 /// An integer id that does not convert to or from ids of another kind.
 template <typename Tag, typename Rep> class TypedId {
 public:
--- a/tests/fleet_drain_test.cpp
+++ b/tests/fleet_drain_test.cpp
@@ -25,34 +25,40 @@
   return std::nullopt;
 }
 
+// A fleet with a flow that upstream 1 serves.
+class FleetDrain : public testing::Test {
+protected:
+  void SetUp() override {
+    System.advance(milliseconds(2000));
+    Service = System.Config.Services.begin()->first;
+    const auto Found = flowOfUpstream(System, Service);
+    ASSERT_TRUE(Found);
+    Flow = *Found;
+  }
+
+  Fleet System{7, 1};
+  ServiceId Service;
+  FlowKey Flow;
+};
+
 // Found by the fuzz test (seed 831524687: Drain(1), Undrain(1), Send): the
 // check took an upstream that the operators had taken back for one that had
 // been leaving since the epoch, while instances still had its drain in force.
-TEST(FleetDrain, AnUpstreamTakenBackMayServeAtOnce) {
-  Fleet System(7, 1);
-  System.advance(milliseconds(2000));
-  const ServiceId Service = System.Config.Services.begin()->first;
-  const auto Flow = flowOfUpstream(System, Service);
-  ASSERT_TRUE(Flow);
+TEST_F(FleetDrain, AnUpstreamTakenBackMayServeAtOnce) {
   setDraining(System, true);
   System.advance(milliseconds(1500));
   setDraining(System, false);
-  System.send(0, *Flow, Service, true);
+  System.send(0, Flow, Service, true);
   System.advance(milliseconds(100));
   EXPECT_EQ(System.Violations, std::vector<std::string>());
 }
 
 // The check itself has to see an upstream that gets work long after its drain.
-TEST(FleetDrain, FlowsLeaveADrainedUpstream) {
-  Fleet System(7, 1);
-  System.advance(milliseconds(2000));
-  const ServiceId Service = System.Config.Services.begin()->first;
-  const auto Flow = flowOfUpstream(System, Service);
-  ASSERT_TRUE(Flow);
+TEST_F(FleetDrain, FlowsLeaveADrainedUpstream) {
   setDraining(System, true);
   System.advance(milliseconds(6000));
   const uint64_t Before = System.upstream(1).Delivered;
-  System.send(0, *Flow, Service, true);
+  System.send(0, Flow, Service, true);
   System.advance(milliseconds(500));
   EXPECT_EQ(System.upstream(1).Delivered, Before);
   EXPECT_EQ(System.Violations, std::vector<std::string>());
