--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -144,7 +144,7 @@
               [this](const HttpRequest &, const HttpServer::Respond &Answer) {
                 Answer({isReady() ? 200 : 503, "{}"});
               });
-  if (const std::string Problem = openReport(); !Problem.empty())
+  if (std::string Problem = openReport(); !Problem.empty())
     return Problem;
   Log.write(LogEvent::Started, [this] {
     return EventLog::Fields{{"version", Version},
@@ -154,7 +154,7 @@
                             {"peerAddress", toString(Settings.PeerAddress)},
                             {"process", getpid()}};
   });
-  if (const std::string Problem = Follower.start(); !Problem.empty())
+  if (std::string Problem = Follower.start(); !Problem.empty())
     return Problem;
   MaintenanceTimer =
       LoopEvent::every(Loop, MaintenancePeriod, [this] { maintain(); });
