Share the socket address, keep a check's failure out of its own start

Found in reading the change once more. - Endpoint and sockaddr_in were converted in three places; socket_address.h serves the UDP endpoint, the HTTP server and the connection check. - ConnectCheck relied on libevent not calling back from within connect.

--- a/src/connect_check.cpp
+++ b/src/connect_check.cpp
@@ -4,12 +4,11 @@
 #include <new>
 #include <utility>
 
-#include <arpa/inet.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <netinet/in.h>
 
 #include "event_loop.h"
+#include "socket_address.h"
 
 namespace indigopoint {
 
@@ -55,16 +54,15 @@
   Started.Owner = S.get();
   Started.Self = std::prev(S->Attempts.end());
   Started.OnResult = std::move(OnResult);
-  Started.Connection =
-      bufferevent_socket_new(S->Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  // Deferred callbacks never run from within connect, which would end the
+  // attempt while it is being set up.
+  Started.Connection = bufferevent_socket_new(
+      S->Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   if (Started.Connection == nullptr)
     throw std::bad_alloc();
   bufferevent_setcb(Started.Connection, nullptr, nullptr, State::onEvent,
                     &Started);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(Target.Address);
-  Address.sin_port = htons(Target.Port);
+  sockaddr_in Address = toSocketAddress(Target);
   // A failure at once is reported by the timer, so that the hook never runs
   // from within this call.
   const bool Connecting =
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 #include <vector>
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
@@ -13,6 +12,7 @@
 #include <sys/socket.h>
 
 #include "event_loop.h"
+#include "socket_address.h"
 
 namespace indigopoint {
 
@@ -173,7 +173,7 @@
   if (getsockname(evhttp_bound_socket_get_fd(Socket),
                   reinterpret_cast<sockaddr *>(&Bound), &Size) != 0)
     return {errno, std::generic_category()};
-  S->Bound = {ntohl(Bound.sin_addr.s_addr), ntohs(Bound.sin_port)};
+  S->Bound = toEndpoint(Bound);
   return {};
 }
 
--- a/src/steering_flows.cpp
+++ b/src/steering_flows.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-// 96 bytes each: 12 MB at most. Flows beyond follow their tags.
+// Bounds the memory of the table. Flows beyond follow their tags.
 constexpr size_t MostFlows = 131'072;
 
 // Late packets of a closed flow still find it.
--- a/src/steering_flows.h
+++ b/src/steering_flows.h
@@ -47,8 +47,8 @@
 
   void erase(const FlowAddress &Flow) { Flows.erase(Flow); }
 
-  /// Removes flows that were closed or idle for long. Looks at a few flows a
-  /// call. \p OnRemove sees each before its end.
+  /// Removes flows that were closed or idle for long. Looks at all flows.
+  /// \p OnRemove sees each before its end.
   void sweep(TimePoint Now, Duration IdleTimeout, const Hook &OnRemove);
 
   /// Calls \p OnSilent for each opening that found no answer by \p Now.
--- a/src/udp_endpoint.cpp
+++ b/src/udp_endpoint.cpp
@@ -5,12 +5,11 @@
 #include <utility>
 #include <vector>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "event_loop.h"
+#include "socket_address.h"
 
 namespace indigopoint {
 
@@ -26,18 +25,6 @@
 // Absorbs bursts while the loop is busy. The system may grant less.
 constexpr int SocketBufferBytes = 4 * 1024 * 1024;
 
-sockaddr_in toSocketAddress(Endpoint Address) {
-  sockaddr_in Out{};
-  Out.sin_family = AF_INET;
-  Out.sin_addr.s_addr = htonl(Address.Address);
-  Out.sin_port = htons(Address.Port);
-  return Out;
-}
-
-Endpoint toEndpoint(const sockaddr_in &Address) {
-  return {ntohl(Address.sin_addr.s_addr), ntohs(Address.sin_port)};
-}
-
 std::error_code lastError() { return {errno, std::generic_category()}; }
 
 // The headers, buffers and addresses of one recvmmsg or sendmmsg call.
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace indigopoint {
 
@@ -70,9 +71,9 @@
 void UpstreamRegistry::retain(
     const std::vector<UpstreamId> &Present, TimePoint Now,
     const std::function<void(UpstreamId)> &OnRemoved) {
+  const std::set<UpstreamId> Kept(Present.begin(), Present.end());
   for (const auto &[Id, Entry] : Upstreams)
-    if (std::find(Present.begin(), Present.end(), Id) == Present.end() &&
-        remove(Id, Now) == Change::Removed)
+    if (Kept.count(Id) == 0 && remove(Id, Now) == Change::Removed)
       OnRemoved(Id);
 }
 
