Soak real forwarders under random faults

make soak SEED=1 MINUTES=5 runs forward processes against the stand-ins: pauses, kills, stops, reloads with sound and broken settings, a proxy before the store that delays, resets, cuts one way and silences, refusals, outages, lost history, lapsed registrations, drains, crashes, dark upstreams, changes of routes in series, and a fabric that loses, copies and delays datagrams.

soak/oracle.py judges from the packets of clients and upstreams.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 DEPLOYMENT ?= andina
 SEED ?= 1
 SECONDS_OF_TRAFFIC ?= 20
+MINUTES ?= 1
 
-.PHONY: deps build test lint format generate sanitize demo forward-demo measure bench fuzz clean
+.PHONY: deps build test lint format generate sanitize demo forward-demo soak measure bench fuzz clean
 
 deps:
 	@scripts/install_packages.sh
@@ -39,6 +40,10 @@
 forward-demo: build
 	@python3 scripts/forward_demo.py $(BUILD)/indigopoint
 
+# Random faults for forwarder processes, checked from what clients and upstreams see.
+soak: build
+	@python3 soak/soak.py $(BUILD)/indigopoint --seed $(SEED) --minutes $(MINUTES)
+
 measure: build
 	@$(BUILD)/indigopoint_measure --output $(BUILD)/measure.json
 
--- a/scripts/forward_demo.py
+++ b/scripts/forward_demo.py
@@ -5,58 +5,18 @@
 import os
 import pathlib
 import signal
-import socket
-import subprocess
 import sys
 import tempfile
-import urllib.error
-import urllib.request
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "standins"))
-from flow_platform import RESET, Client, Store, Upstream, wait_until  # noqa: E402
+from flow_platform import (RESET, Client, Store, Upstream, configuration,  # noqa: E402
+                           wait_until)
+from forwarder_process import Instance, free_port  # noqa: E402
 
 CHAT = ("198.18.0.1", 443)
 PHOTOS = ("198.18.0.1", 8443)
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-class Instance:
-    """One forwarder process."""
-
-    def __init__(self, program, folder, name, address, data_port, store):
-        self.program, self.data = program, (address, data_port)
-        self.ready = "%s:%d" % (address, free_port())
-        self.settings = folder / (name + ".json")
-        self.log = folder / (name + ".log")
-        self.settings.write_text(json.dumps({
-            "name": name, "zone": "zone-a", "dataAddress": "%s:%d" % self.data,
-            "readyAddress": self.ready, "store": store, "peerAddress": "%s:%d" % (
-                address, free_port()), "stopLimitS": 4}))
-        self.start()
-
-    def start(self):
-        with open(self.log, "ab") as log:
-            self.process = subprocess.Popen(
-                [self.program, "forward", "--settings", str(self.settings)], stdout=log)
-
-    def is_ready(self):
-        try:
-            return urllib.request.urlopen("http://%s/readiness" % self.ready).status == 200
-        except (urllib.error.URLError, ConnectionError):
-            return False
-
-
-def configuration(version, routes):
-    return {"Version": version, "Services": [], "Limits": {"IdleTimeoutMs": 15000}, "Routes": [
-        {"Name": service, "Host": host, "Prefix": "/%d/" % port, "RouteType": "idempotent",
-         "Service": service} for (host, port), service in routes.items()]}
-
-
 class Demo:
     def __init__(self, program, folder):
         port = free_port()
@@ -133,9 +93,7 @@
 
     def stop(self):
         for each in self.instances:
-            if each.process.poll() is None:
-                each.process.kill()
-                each.process.wait()
+            each.kill()
 
 
 def main():
--- /dev/null
+++ b/soak/oracle_test.py
@@ -0,0 +1,135 @@
+"""Shows that the oracle sees each kind of broken promise, and accepts what the
+pages allow. Runs without processes."""
+
+import pathlib
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).parent.parent
+sys.path[:0] = [str(ROOT / "standins"), str(ROOT / "soak")]
+from flow_platform import ACKNOWLEDGE, OPEN, RESET, Packet  # noqa: E402
+from oracle import Oracle, Version  # noqa: E402
+
+ROUTE, OTHER = ("198.18.0.1", 443), ("198.18.0.2", 443)
+CLIENT = ("127.0.2.1", 20000)
+CHAT, CHAT_TWO, PHOTO = 1, 2, 3
+
+
+class OracleTest(unittest.TestCase):
+    def setUp(self):
+        self.oracle = Oracle()
+        self.oracle.note_version(Version(1, {ROUTE: "chat"}, 0, 0))
+        for upstream, service in ((CHAT, "chat"), (CHAT_TWO, "chat"), (PHOTO, "photos")):
+            self.oracle.note_upstream(upstream, service)
+
+    def deliver(self, packet, upstream=CHAT, named=None, proves_handshake=False, at=10.0):
+        self.oracle.client_wrote(packet)
+        self.oracle.upstream_got(upstream, upstream if named is None else named, packet,
+                                 "instance-1", proves_handshake, at, at)
+
+    def open(self, **given):
+        self.deliver(Packet(CLIENT, ROUTE, OPEN), **given)
+
+    def hold(self, upstream=CHAT):
+        self.deliver(Packet(CLIENT, ROUTE, ACKNOWLEDGE, 1, 8, data=b"first"), upstream=upstream,
+                     proves_handshake=True)
+
+    def assert_seen(self, what):
+        self.assertEqual([text.split(": ")[1] for text in self.oracle.violations], [what])
+
+    def assert_nothing_seen(self):
+        self.assertEqual(self.oracle.violations, [])
+
+    def test_accepts_a_flow_that_keeps_its_upstream(self):
+        self.open()
+        self.hold()
+        self.deliver(Packet(CLIENT, ROUTE, ACKNOWLEDGE, 6, 8, data=b"second"))
+        self.assert_nothing_seen()
+
+    def test_sees_a_packet_for_another_upstream(self):
+        self.open(named=CHAT_TWO)
+        self.assert_seen("misdelivered")
+
+    def test_sees_a_packet_that_no_client_wrote(self):
+        packet = Packet(CLIENT, ROUTE, OPEN)
+        self.oracle.upstream_got(CHAT, CHAT, packet, "instance-1", False, 10, 10)
+        self.assert_seen("altered")
+
+    def test_sees_a_flow_at_another_service(self):
+        self.open(upstream=PHOTO)
+        self.assert_seen("other service")
+
+    def test_sees_a_packet_that_strays_from_its_flow(self):
+        self.hold()
+        self.deliver(Packet(CLIENT, ROUTE, ACKNOWLEDGE, 6, 8, data=b"second"), upstream=CHAT_TWO)
+        self.assert_seen("stray")
+
+    def test_sees_the_reset_of_an_open_flow(self):
+        self.hold()
+        reset = Packet(ROUTE, CLIENT, RESET, mark=0)
+        self.oracle.client_was_reset(reset, lambda upstream: True, 11)
+        self.assert_seen("reset")
+
+    def test_accepts_the_reset_of_a_flow_of_a_disturbed_upstream(self):
+        self.hold()
+        reset = Packet(ROUTE, CLIENT, RESET, mark=0)
+        self.oracle.client_was_reset(reset, lambda upstream: False, 11)
+        self.assert_nothing_seen()
+
+    def test_sees_a_new_flow_at_an_upstream_that_drained_long_ago(self):
+        self.oracle.note_drain(CHAT, 5)
+        self.open(at=9)
+        self.assert_seen("late drain")
+
+    def test_accepts_a_new_flow_soon_after_the_drain_or_while_disturbed(self):
+        self.oracle.note_drain(CHAT, 5)
+        self.open(at=6)
+        self.oracle.disturbances.begin("instance-1")
+        self.open(at=9)
+        self.assert_nothing_seen()
+
+    def test_accepts_new_flows_of_an_upstream_that_came_back(self):
+        self.oracle.note_drain(CHAT, 5)
+        self.oracle.note_upstream(CHAT, "chat")
+        self.open(at=9)
+        self.assert_nothing_seen()
+
+    def probe(self, was_forwarded, sent, floor=0):
+        self.oracle.check_probe("instance-1", 1, OTHER, was_forwarded, sent, floor, sent + 0.01)
+
+    def test_sees_a_configuration_that_comes_late(self):
+        self.oracle.note_version(Version(2, {ROUTE: "chat", OTHER: "chat"}, 5, 5))
+        self.probe(False, sent=6)
+        self.assert_nothing_seen()
+        self.probe(False, sent=9)
+        self.assert_seen("old configuration")
+
+    def test_sees_a_configuration_that_reverts(self):
+        self.oracle.note_version(Version(2, {ROUTE: "chat", OTHER: "chat"}, 5, 5))
+        self.probe(True, sent=5.1)
+        self.probe(False, sent=5.5, floor=self.oracle.floor("instance-1", 1))
+        self.assert_seen("old configuration")
+
+    def test_accepts_an_older_configuration_after_a_start(self):
+        self.oracle.note_version(Version(2, {ROUTE: "chat", OTHER: "chat"}, 5, 5))
+        self.probe(True, sent=5.1)
+        self.probe(False, sent=5.5, floor=self.oracle.floor("instance-1", 2))
+        self.assert_nothing_seen()
+
+    def test_sees_a_process_that_ends_by_itself_or_badly(self):
+        self.oracle.process_ended("instance-1", 0, True, 1)
+        self.assert_nothing_seen()
+        self.oracle.process_ended("instance-1", 0, False, 1)
+        self.assert_seen("ended")
+        self.oracle.process_ended("instance-1", -6, True, 1)
+        self.assertEqual(len(self.oracle.violations), 2)
+
+    def test_sees_an_instance_that_does_not_serve_after_recovery(self):
+        self.oracle.check_recovery("instance-1", 10, 10, 1)
+        self.assert_nothing_seen()
+        self.oracle.check_recovery("instance-1", 9, 10, 1)
+        self.assert_seen("unserved")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/soak/traffic.py
@@ -0,0 +1,238 @@
+"""Clients whose packets the fabric sprays over instances, with loss, copies and
+delays. Everything runs in one thread, so that the oracle sees an order."""
+
+import collections
+import heapq
+import itertools
+import random
+import select
+import socket
+import threading
+import time
+import zlib
+
+from flow_platform import ACKNOWLEDGE, FINISH, OPEN, Packet
+
+LOSS, DUPLICATION, DELAY = 0.01, 0.01, 0.05
+MOST_DELAY_S = 0.03
+# Copies of an opening packet, and the whole time of an attempt, as clients do it.
+OPENING_COPIES_S = (0.2, 0.6)
+OPENING_LIMIT_S = 1.4
+RETRANSMIT_S = 0.2
+MOST_RETRANSMITS = 8
+FIRST_PORT = 20000
+LAST_PORT = 60000
+
+
+class Fabric:
+    """Chooses the instance of a packet among those that say they are ready."""
+
+    POLL_S = 0.5
+    MISSES_TO_LEAVE = 2
+
+    def __init__(self, instances):
+        self.instances, self.misses = instances, {each.name: 0 for each in instances}
+        for each in instances:
+            threading.Thread(target=self.poll, args=(each,), daemon=True).start()
+
+    def poll(self, instance):
+        while True:
+            is_ready = instance.is_ready(timeout=self.POLL_S)
+            self.misses[instance.name] = 0 if is_ready else self.misses[instance.name] + 1
+            time.sleep(self.POLL_S)
+
+    def choose(self, packet):
+        ready = [each for each in self.instances
+                 if self.misses[each.name] < self.MISSES_TO_LEAVE]
+        among = ready if 2 * len(ready) >= len(self.instances) else self.instances
+        return among[zlib.crc32(repr((packet.source, packet.destination)).encode()) % len(among)]
+
+
+class Flow:
+    """A client's end of one flow."""
+
+    def __init__(self, port, route, packets):
+        self.port, self.route, self.left = port, route, packets
+        self.state, self.copies, self.tag = "opening", 0, 0
+        self.sequence = self.acknowledged = 0
+        self.waiting, self.retransmits = None, 0
+
+
+class Probe(Flow):
+    """An opening packet to one instance, for a route that comes and goes."""
+
+    def __init__(self, port, route, instance, boot, floor, sent):
+        super().__init__(port, route, 0)
+        self.instance, self.boot, self.floor, self.sent = instance, boot, floor, sent
+
+
+class Clients:
+    def __init__(self, address, port, fabric, oracle, seed):
+        self.address, self.fabric, self.oracle = address, fabric, oracle
+        self.random = random.Random(seed)
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((address, port))
+        self.ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+        self.flows, self.sent_at = {}, {}
+        # Datagrams and timers that are due, by time.
+        self.due, self.order = [], itertools.count()
+        # What upstreams got, put here by their threads.
+        self.arrivals = collections.deque()
+        self.upstream_is_calm = lambda upstream: True
+        self.opened = self.finished = self.broken = self.refused = 0
+
+    # Time.
+
+    def after(self, seconds, action):
+        heapq.heappush(self.due, (time.monotonic() + seconds, next(self.order), action))
+
+    def run(self, seconds):
+        """Plays the clients for a while."""
+        end = time.monotonic() + seconds
+        while (now := time.monotonic()) < end:
+            while self.due and self.due[0][0] <= now:
+                heapq.heappop(self.due)[2]()
+            self.take_arrivals()
+            wait = min(end, self.due[0][0] if self.due else end, now + 0.01) - now
+            if select.select([self.socket], [], [], max(wait, 0))[0]:
+                self.receive(Packet.decode(self.socket.recv(2048)))
+
+    # Sending.
+
+    def send(self, packet, instance=None):
+        self.oracle.client_wrote(packet)
+        self.sent_at.setdefault(self.oracle.identity(packet), time.monotonic())
+        to = (instance or self.fabric.choose(packet)).data
+        for _ in range(2 if self.random.random() < DUPLICATION else 1):
+            if self.random.random() < LOSS:
+                continue
+            if self.random.random() < DELAY:
+                self.after(self.random.uniform(0, MOST_DELAY_S),
+                           lambda: self.socket.sendto(packet.encode(), to))
+            else:
+                self.socket.sendto(packet.encode(), to)
+
+    def packet(self, flow, flags, data=b""):
+        return Packet((self.address, flow.port), flow.route, flags, flow.sequence,
+                      flow.acknowledged, flow.tag, data)
+
+    def open(self, route, packets, instance=None):
+        flow = Flow(next(self.ports), route, packets)
+        flow.instance = instance
+        self.flows[flow.port] = flow
+        self.opened += 1
+        self.send(self.packet(flow, OPEN), instance)
+        for copy, delay in enumerate(OPENING_COPIES_S, start=1):
+            self.after(delay, lambda copy=copy: self.repeat_opening(flow, copy))
+        self.after(OPENING_LIMIT_S, lambda: self.give_up_opening(flow))
+        return flow
+
+    def probe(self, route, instance, boot):
+        now = time.monotonic()
+        flow = Probe(next(self.ports), route, instance, boot,
+                     self.oracle.floor(instance.name, boot), now)
+        self.flows[flow.port] = flow
+        self.send(self.packet(flow, OPEN), instance)
+
+    def repeat_opening(self, flow, copy):
+        if flow.state == "opening":
+            # Copies say how many came before.
+            packet = self.packet(flow, OPEN)
+            packet.acknowledged = copy
+            self.send(packet, flow.instance)
+
+    def give_up_opening(self, flow):
+        if flow.state == "opening":
+            self.end(flow, "broken")
+
+    def send_data(self, flow):
+        if flow.state != "open" or flow.waiting:
+            return
+        flow.left -= 1
+        is_last = flow.left <= 0
+        flow.waiting = self.packet(flow, ACKNOWLEDGE | (FINISH if is_last else 0),
+                                   b"flow %d packet %d" % (flow.port, flow.left))
+        flow.retransmits = 0
+        self.transmit(flow, flow.waiting)
+
+    def transmit(self, flow, packet):
+        if flow.waiting is not packet or flow.state != "open":
+            return
+        if flow.retransmits > MOST_RETRANSMITS:
+            self.end(flow, "broken")
+            return
+        packet.tag = flow.tag
+        self.send(packet, flow.instance)
+        self.after(min(RETRANSMIT_S * 2 ** flow.retransmits, 1.6),
+                   lambda: self.transmit(flow, packet))
+        flow.retransmits += 1
+
+    def end(self, flow, state):
+        flow.state = state
+        if state == "finished":
+            self.finished += 1
+        elif state == "refused":
+            self.refused += 1
+        else:
+            self.broken += 1
+
+    # Receiving.
+
+    def receive(self, packet):
+        flow = self.flows.get(packet.destination[1])
+        if flow is None:
+            return
+        if packet.resets:
+            self.receive_reset(flow, packet)
+            return
+        if packet.opens:
+            self.receive_opening_answer(flow, packet)
+            return
+        flow.tag = packet.tag
+        if flow.waiting and packet.acknowledged >= (
+                flow.waiting.sequence + len(flow.waiting.data)):
+            flow.sequence = packet.acknowledged
+            flow.waiting = None
+            if flow.left <= 0:
+                self.end(flow, "finished")
+            else:
+                self.after(self.random.uniform(0, 0.4), lambda: self.send_data(flow))
+
+    def receive_opening_answer(self, flow, packet):
+        # A second answer, to a copy that went another way, is not used.
+        if flow.sequence != 0:
+            return
+        flow.sequence, flow.acknowledged, flow.tag = 1, packet.sequence + 1, packet.tag
+        if isinstance(flow, Probe):
+            self.send(self.packet(flow, ACKNOWLEDGE | FINISH), flow.instance)
+        elif flow.state == "opening":
+            flow.state = "open"
+            self.send_data(flow)
+
+    def receive_reset(self, flow, packet):
+        now = time.monotonic()
+        is_own = packet.mark == 0
+        if isinstance(flow, Probe):
+            if is_own and flow.state == "opening":
+                flow.state = "refused"
+                self.oracle.check_probe(flow.instance.name, flow.boot, flow.route, False,
+                                        flow.sent, flow.floor, now)
+            return
+        if is_own:
+            self.take_arrivals()
+            self.oracle.client_was_reset(packet, self.upstream_is_calm, now)
+        if flow.state in ("opening", "open"):
+            self.end(flow, "refused" if flow.state == "opening" else "broken")
+
+    def take_arrivals(self):
+        while self.arrivals:
+            self.take_arrival(*self.arrivals.popleft())
+
+    def take_arrival(self, upstream, named, packet, instance, proves_handshake, now):
+        sent = self.sent_at.get(self.oracle.identity(packet), now)
+        self.oracle.upstream_got(upstream, named, packet, instance, proves_handshake, sent, now)
+        flow = self.flows.get(packet.source[1])
+        if isinstance(flow, Probe) and flow.state == "opening" and packet.opens:
+            flow.state = "forwarded"
+            self.oracle.check_probe(flow.instance.name, flow.boot, flow.route, True, flow.sent,
+                                    flow.floor, now)
--- /dev/null
+++ b/standins/fault_proxy.py
@@ -0,0 +1,103 @@
+"""A TCP proxy on loopback whose connections can be delayed, reset, cut one way or
+silenced."""
+
+import enum
+import socket
+import threading
+import time
+
+
+class Mode(enum.Enum):
+    PASS = "pass"
+    DELAY = "delay"
+    # What the server answers is lost; calls still reach it.
+    CUT_ANSWERS = "cut answers"
+    SILENT = "silent"
+    RESET = "reset"
+
+
+DELAY_S = 0.3
+CHUNK_BYTES = 65536
+# A reset instead of an orderly close: linger is on, with no time.
+RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"
+
+
+class FaultProxy:
+    """Carries connections from its own address to a target."""
+
+    def __init__(self, target, address="127.0.0.1"):
+        self.target, self.mode = target, Mode.PASS
+        # Connections made before this time have gone silent for good.
+        self.silent_before = 0.0
+        self.open = set()
+        self.lock = threading.Lock()
+        self.listener = socket.create_server((address, 0))
+        self.address = "%s:%d" % self.listener.getsockname()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def set(self, mode):
+        self.mode = mode
+        if mode is Mode.RESET:
+            with self.lock:
+                pairs = list(self.open)
+            for pair in pairs:
+                self.end(pair, reset=True)
+
+    def silence_open(self):
+        """Connections that are open now carry nothing more; new ones work."""
+        self.silent_before = time.monotonic()
+
+    def accept(self):
+        while True:
+            try:
+                caller, _ = self.listener.accept()
+            except OSError:
+                return
+            if self.mode is Mode.RESET:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                caller.close()
+                continue
+            try:
+                server = socket.create_connection(self.target)
+            except OSError:
+                caller.close()
+                continue
+            pair = (caller, server)
+            with self.lock:
+                self.open.add(pair)
+            made = time.monotonic()
+            for source, sink, is_answer in ((caller, server, False), (server, caller, True)):
+                threading.Thread(target=self.pump, args=(pair, source, sink, is_answer, made),
+                                 daemon=True).start()
+
+    def pump(self, pair, source, sink, is_answer, made):
+        try:
+            while True:
+                data = source.recv(CHUNK_BYTES)
+                if not data:
+                    break
+                if self.mode is Mode.DELAY:
+                    time.sleep(DELAY_S)
+                is_lost = (self.mode is Mode.SILENT or made < self.silent_before
+                           or self.mode is Mode.CUT_ANSWERS and is_answer)
+                if not is_lost:
+                    sink.sendall(data)
+        except OSError:
+            pass
+        self.end(pair, reset=False)
+
+    def end(self, pair, reset):
+        with self.lock:
+            self.open.discard(pair)
+        for each in pair:
+            try:
+                if reset:
+                    each.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                # Wakes the thread that reads from it; close alone does not.
+                each.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            each.close()
+
+    def close(self):
+        self.listener.close()
--- a/standins/flow_platform.py
+++ b/standins/flow_platform.py
@@ -21,41 +21,78 @@
 class Packet:
     """One packet of a flow, as both ends write it."""
 
-    def __init__(self, source, destination, flags, sequence=0, acknowledged=0, tag=0, data=b""):
+    # Both ends write a number here; a reset of an instance's own has 0.
+    MARK = 7
+
+    def __init__(self, source, destination, flags, sequence=0, acknowledged=0, tag=0, data=b"",
+                 mark=MARK):
         self.source, self.destination, self.flags = source, destination, flags
         self.sequence, self.acknowledged, self.tag, self.data = sequence, acknowledged, tag, data
+        self.mark = mark
+
+    @property
+    def opens(self):
+        return bool(self.flags & OPEN)
+
+    @property
+    def resets(self):
+        return bool(self.flags & RESET)
 
     def encode(self):
-        return HEADER.pack(7, len(self.data), number_of(self.destination[0]), self.destination[1],
+        return HEADER.pack(self.mark, len(self.data), number_of(self.destination[0]), self.destination[1],
                            number_of(self.source[0]), self.source[1], self.sequence,
                            self.acknowledged, self.tag, self.flags) + self.data
 
     @staticmethod
     def decode(raw):
-        _, length, to, to_port, by, by_port, sequence, acknowledged, tag, flags = HEADER.unpack(
+        mark, length, to, to_port, by, by_port, sequence, acknowledged, tag, flags = HEADER.unpack(
             raw[:HEADER.size])
         text = lambda number: socket.inet_ntoa(struct.pack(">I", number))
         assert len(raw) == HEADER.size + length, "a packet of another length than it says"
         return Packet((text(by), by_port), (text(to), to_port), flags, sequence, acknowledged, tag,
-                      raw[HEADER.size:])
+                      raw[HEADER.size:], mark)
+
+
+def configuration(version, routes):
+    return {"Version": version, "Services": [], "Limits": {"IdleTimeoutMs": 15000}, "Routes": [
+        {"Name": service, "Host": host, "Prefix": "/%d/" % port, "RouteType": "idempotent",
+         "Service": service} for (host, port), service in routes.items()]}
 
 
 class Store:
-    """Keys with revisions, read by ranges and watches."""
+    """Keys with revisions, read by ranges and watches. Each instance may be given
+    an entrance of its own, so that some can be turned away."""
 
     def __init__(self):
         self.items, self.events, self.revision = {}, [], 1
+        # Changes up to this revision are no longer told.
+        self.forgotten = 0
+        # Status of every answer while the store is down.
+        self.outage = None
+        self.delay_s = 0
         self.changed = threading.Condition()
+        self.servers = []
+        self.address = "%s:%d" % self.entrance().server_address
+
+    def entrance(self):
+        """Opens another port. Its attribute `refusal` is the status of all its answers."""
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
+            # An answer is written in several pieces.
+            disable_nagle_algorithm = True
 
             def do_GET(self):
                 parts = urllib.parse.urlparse(self.path)
                 query = urllib.parse.parse_qs(parts.query, keep_blank_values=True)
-                body = json.dumps(store.answer(parts.path, query)).encode()
-                self.send_response(200)
+                status = self.server.refusal or store.outage
+                content = {}
+                if status is None:
+                    status, content = store.answer(parts.path, query)
+                time.sleep(store.delay_s)
+                body = json.dumps(content).encode()
+                self.send_response(status)
                 self.send_header("Content-Type", "application/json")
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
@@ -65,13 +102,16 @@
                 pass
 
         class Server(http.server.ThreadingHTTPServer):
+            daemon_threads = True
+            refusal = None
+
             def handle_error(self, *_):
                 """An instance may end while its call waits."""
 
-        self.server = Server(("127.0.0.1", 0), Handler)
-        self.server.daemon_threads = True
-        self.address = "127.0.0.1:%d" % self.server.server_port
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        server = Server(("127.0.0.1", 0), Handler)
+        self.servers.append(server)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return server
 
     def put(self, key, value):
         with self.changed:
@@ -83,46 +123,125 @@
             self.events.append(self.items[key])
             self.changed.notify_all()
 
+    def remove(self, key):
+        with self.changed:
+            if self.items.pop(key, None) is None:
+                return
+            self.revision += 1
+            self.events.append({"Key": key, "Revision": self.revision, "Deleted": True})
+            self.changed.notify_all()
+
+    def forget_history(self):
+        with self.changed:
+            self.events, self.forgotten = [], self.revision
+
     def answer(self, path, query):
+        """Returns the status and the content."""
         with self.changed:
             if path == "/kv-range":
-                return {"items": list(self.items.values()), "HasMore": False,
-                        "StoreRevision": self.revision}
+                return 200, {"items": list(self.items.values()), "HasMore": False,
+                             "StoreRevision": self.revision}
             after = int(query["after"][0])
             news = lambda: [each for each in self.events if each["Revision"] > after]
-            self.changed.wait_for(news, int(query["WaitMs"][0]) / 1000)
-            return {"events": news(), "StoreRevision": self.revision}
+            is_lost = lambda: after < self.forgotten
+            self.changed.wait_for(lambda: news() or is_lost(), int(query["WaitMs"][0]) / 1000)
+            if is_lost():
+                return 410, {}
+            return 200, {"events": news(), "StoreRevision": self.revision}
 
     def close(self):
-        self.server.shutdown()
-        self.server.server_close()
+        for server in self.servers:
+            server.shutdown()
+            server.server_close()
 
 
 class Upstream:
-    """Answers opening packets directly to the client and notes what it gets."""
+    """Answers packets directly to the client and notes what it gets. Listens for
+    connections as well, since instances check whether it accepts any."""
 
-    def __init__(self, identity, address, port, client_port):
-        self.identity, self.client_port = identity, client_port
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.bind((address, port))
-        self.address = "%s:%d" % (address, port)
+    def __init__(self, identity, address, port, client_port, on_packet=None):
+        self.identity, self.client_port, self.on_packet = identity, client_port, on_packet
+        self.endpoint = (address, port)
+        self.address = "%s:%d" % self.endpoint
         self.received = []
-        threading.Thread(target=self.serve, daemon=True).start()
-
-    def registration(self, service, state="ready"):
+        # While it is silent, it reads and answers nothing.
+        self.is_silent = False
+        # The next sequence number that it expects, by the client's end of the flow.
+        self.flows = {}
+        self.start()
+
+    def start(self):
+        self.flows.clear()
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind(self.endpoint)
+        self.listener = socket.create_server(self.endpoint)
+        threading.Thread(target=self.serve, args=(self.socket,), daemon=True).start()
+
+    def crash(self):
+        # A blocked reader would keep the port; shutdown wakes it.
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self.socket.close()
+        self.listener.close()
+
+    def registration(self, service, state="ready", born=1):
         return {"Service": service, "Address": self.address, "Zone": "zone-a", "Version": "v1",
-                "Concurrency": 2, "State": state, "ColdLeftMs": 0, "Seq": 1, "born": 1}
+                "Concurrency": 2, "State": state, "ColdLeftMs": 0, "Seq": 1, "born": born}
 
-    def serve(self):
+    def serve(self, own):
         while True:
-            raw = self.socket.recv(2048)
-            assert struct.unpack(">Q", raw[:8])[0] == self.identity, "a packet for another upstream"
+            try:
+                raw, source = own.recvfrom(2048)
+            except OSError:
+                return
+            if not raw:
+                return
+            if self.is_silent:
+                continue
+            named = struct.unpack(">Q", raw[:8])[0]
             packet = Packet.decode(raw[8:])
             self.received.append(packet)
-            if packet.flags & OPEN:
-                answer = Packet(packet.destination, packet.source, OPEN | ACKNOWLEDGE, 5000,
-                                packet.sequence + 1, packet.tag)
-                self.socket.sendto(answer.encode(), (packet.source[0], self.client_port))
+            if self.on_packet is not None:
+                self.on_packet(self, named, packet, source)
+            else:
+                assert named == self.identity, "a packet for another upstream"
+            answer = self.answer(packet)
+            if answer is not None:
+                try:
+                    own.sendto(answer.encode(), (packet.source[0], self.client_port))
+                except OSError:
+                    return
+
+    @property
+    def sequence(self):
+        """Its first sequence number; tells upstreams apart."""
+        return self.identity % 1000 * 1000 + 7
+
+    def proves_handshake(self, packet):
+        """Whether the client acknowledges this upstream's opening answer."""
+        return not packet.opens and packet.acknowledged == self.sequence + 1
+
+    def answer(self, packet):
+        """The packet that goes back to the client; None for none."""
+        if packet.resets:
+            self.flows.pop(packet.source, None)
+            return None
+        if packet.opens:
+            return Packet(packet.destination, packet.source, OPEN | ACKNOWLEDGE, self.sequence,
+                          packet.sequence + 1, packet.tag)
+        if packet.source not in self.flows:
+            if not self.proves_handshake(packet):
+                return Packet(packet.destination, packet.source, RESET, packet.acknowledged, 0,
+                              packet.tag)
+            self.flows[packet.source] = packet.sequence
+        if packet.sequence == self.flows[packet.source]:
+            self.flows[packet.source] += len(packet.data)
+        if packet.flags & FINISH:
+            del self.flows[packet.source]
+        return Packet(packet.destination, packet.source, ACKNOWLEDGE, self.sequence + 1,
+                      packet.sequence + len(packet.data), packet.tag)
 
 
 class Client:
@@ -133,16 +252,23 @@
         self.socket.bind((address, port))
         self.socket.settimeout(2)
         self.address, self.next_port = address, 40000
+        # What the next data packet of each flow acknowledges.
+        self.acknowledged = {}
 
     def open(self, instance, service):
         """Opens a flow through an instance. Returns its port and the answer."""
         self.next_port += 1
         packet = Packet((self.address, self.next_port), service, OPEN, 1000)
         self.socket.sendto(packet.encode(), instance)
-        return self.next_port, Packet.decode(self.socket.recv(2048))
+        while True:
+            answer = Packet.decode(self.socket.recv(2048))
+            if answer.destination[1] == self.next_port:
+                self.acknowledged[self.next_port] = answer.sequence + 1
+                return self.next_port, answer
 
     def send(self, instance, service, port, tag, data):
-        packet = Packet((self.address, port), service, ACKNOWLEDGE, 1001, 5001, tag, data)
+        packet = Packet((self.address, port), service, ACKNOWLEDGE, 1001,
+                        self.acknowledged[port], tag, data)
         self.socket.sendto(packet.encode(), instance)
 
 
--- /dev/null
+++ b/standins/forwarder_process.py
@@ -0,0 +1,49 @@
+"""A forwarder process under test, with its settings file and its log."""
+
+import json
+import socket
+import subprocess
+import urllib.error
+import urllib.request
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Instance:
+    """One forwarder process that is started at once."""
+
+    def __init__(self, program, folder, name, address, data_port, store, **settings):
+        self.program, self.name, self.data = program, name, (address, data_port)
+        self.ready = "%s:%d" % (address, free_port())
+        self.peer = settings.pop("peerAddress", None) or "%s:%d" % (address, free_port())
+        self.settings = folder / (name + ".json")
+        self.log = folder / (name + ".log")
+        self.content = {"name": name, "zone": "zone-a", "dataAddress": "%s:%d" % self.data,
+                        "readyAddress": self.ready, "store": store, "peerAddress": self.peer,
+                        "stopLimitS": 4, **settings}
+        self.write_settings(json.dumps(self.content))
+        self.start()
+
+    def write_settings(self, text):
+        self.settings.write_text(text)
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(
+                [self.program, "forward", "--settings", str(self.settings)], stdout=log)
+
+    def is_ready(self, timeout=2):
+        try:
+            answer = urllib.request.urlopen("http://%s/readiness" % self.ready, timeout=timeout)
+            return answer.status == 200
+        except (urllib.error.URLError, OSError):
+            return False
+
+    def kill(self):
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
