Do not run a retransmission that is older than any record

Cause: a home without a record took a retransmission as new if its records were complete for the caller's stated age, cut to 30 s, plus 1 s. A repeat 31.5 s after the first copy met an expired record and ran again (P5). Ruled out: a lost handover; the first copy's record had expired at every home.

Change: an age of 30 s or more never counts as new. RequestLifecycleTest.RetransmissionOlderThanAnyRecordDoesNotRun failed before.

--- a/src/request_lifecycle.cpp
+++ b/src/request_lifecycle.cpp
@@ -64,9 +64,10 @@
   // copy may have reached it.
   if (mayServeElsewhere(Board.Members))
     return false;
-  const bool AgeIsKnown = Age > Duration();
-  const Duration Sent =
-      AgeIsKnown ? std::min(Age, MaxRequestLifetime) : MaxRequestLifetime;
+  // The record of an earlier copy may have expired since.
+  if (Age >= MaxRequestLifetime)
+    return false;
+  const Duration Sent = Age > Duration() ? Age : MaxRequestLifetime;
   return Complete >= Sent + MaxPacketLifetime;
 }
 
--- a/tests/request_lifecycle_test.cpp
+++ b/tests/request_lifecycle_test.cpp
@@ -101,6 +101,18 @@
   EXPECT_TRUE(take<Submit>().empty());
 }
 
+// Guards against a request that runs again after its record expired (P5). Found
+// by seed 5504 of the stateful properties: a repeat 31.5 s after the first copy.
+TEST_F(RequestLifecycleTest, RetransmissionOlderThanAnyRecordDoesNotRun) {
+  recordsCompleteFor(100 * Second);
+  Request Work = request(1);
+  Work.Attempt = 1;
+  Work.Age = MaxRequestLifetime + Milli;
+  give(Work);
+  EXPECT_TRUE(take<Submit>().empty());
+  EXPECT_EQ(replied().Result, Outcome::Unknown);
+}
+
 // A first copy may still be under way to the dead home's successor.
 TEST_F(RequestLifecycleTest, FirstCopySoonAfterATakeoverDoesNotRun) {
   recordsCompleteFor(500 * Milli);
