Give the choice of an upstream code of its own and measure the ways

Conclusion: least flows, zone first, stays. The longest unused upstream among equals was tried and left: no better.

Behaviour is unchanged: flow_steering_test passes as before.

--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -11,6 +11,7 @@
 #include "imbalance.h"
 #include "membership_measure.h"
 #include "queueing.h"
+#include "steering.h"
 #include "ways_measure.h"
 
 namespace {
@@ -29,7 +30,9 @@
       {"configuration", "configuration runs over 5 s",
        measure::measureConfiguration},
       {"queueing", "queueing targets missed", measure::measureQueueing},
-      {"imbalance", "imbalance targets missed", measure::measureImbalance}};
+      {"imbalance", "imbalance targets missed", measure::measureImbalance},
+      {"steering", "steering runs with flows between zones",
+       measure::measureSteering}};
   return Parts;
 }
 
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -1,9 +1,6 @@
 #include "flow_steering.h"
 
 #include <algorithm>
-#include <tuple>
-
-#include "placement.h"
 
 namespace indigopoint {
 
@@ -94,8 +91,9 @@
                                         UpstreamId Avoided) {
   const TimePoint Now = Time.now();
   const RouteShare *Share = RouteTable::chooseShare(Via, Packet.Flow);
-  Upstream *To =
-      Share == nullptr ? nullptr : choose(Share->Service, Packet.Flow, Avoided);
+  Upstream *To = Share == nullptr
+                     ? nullptr
+                     : choose(Share->Service, {Packet.Flow, Avoided});
   if (To == nullptr) {
     // A copy may follow one that another instance sent on, so its flow could
     // be open; only a first opening packet is refused.
@@ -149,26 +147,12 @@
 }
 
 Upstream *FlowSteering::choose(const std::string &Service,
-                               const FlowAddress &Flow, UpstreamId Avoided) {
-  const TimePoint Now = Time.now();
-  Upstream *Best = nullptr;
-  std::tuple<bool, bool, bool, double, uint64_t> BestScore;
-  for (Upstream *Each : Upstreams.ofService(Service)) {
-    if (!takesFlow(*Each, Flow))
-      continue;
-    const UpstreamRegistration &Said = Each->Registration;
-    // A starting upstream gets half of the flows of a warm one.
-    const double Weight = Said.Slots * (Each->WarmUntil > Now ? 0.5 : 1.0);
-    const std::tuple Score(Said.Id == Avoided, Each->Reach.isSuspect(Now),
-                           Said.Zone != Given.Zone,
-                           (Each->OpenFlows + 1) / Weight,
-                           rendezvousScore(hashOf(Flow), Said.Id.value()));
-    if (Best == nullptr || Score < BestScore) {
-      Best = Each;
-      BestScore = Score;
-    }
-  }
-  return Best;
+                               const FlowToPlace &Opening) {
+  std::vector<Upstream *> Usable;
+  for (Upstream *Each : Upstreams.ofService(Service))
+    if (takesFlow(*Each, Opening.Flow))
+      Usable.push_back(Each);
+  return Given.Choose(Usable, Opening, Time.now());
 }
 
 SteeringDecision FlowSteering::steerLater(const PacketHeader &Packet,
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -10,7 +10,7 @@
 #include "steering_decision.h"
 #include "steering_flows.h"
 #include "steering_metrics.h"
-#include "upstream_registry.h"
+#include "upstream_choice.h"
 
 namespace indigopoint {
 
@@ -20,6 +20,7 @@
 public:
   struct Settings {
     std::string Zone;
+    UpstreamChoice Choose;
   };
 
   struct Hooks {
@@ -61,8 +62,7 @@
   std::optional<SteeringReason> reasonToReset(const Upstream &Given,
                                               bool Repeated) const;
   void considerCheck(Upstream &Given);
-  Upstream *choose(const std::string &Service, const FlowAddress &Flow,
-                   UpstreamId Avoided);
+  Upstream *choose(const std::string &Service, const FlowToPlace &Opening);
   bool takesFlow(const Upstream &Given, const FlowAddress &Flow);
   /// Returns whether the packet repeats data that nothing answered.
   bool noteProgress(const PacketHeader &Packet, SteeredFlow &Flow,
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -112,7 +112,8 @@
     : Loop(Loop), Settings(std::move(Settings)), Protocol(std::move(Protocol)),
       OnStop(std::move(OnStop)),
       Log({this->Settings.Name, this->Settings.LogLinesPerSecond}, Time),
-      Steering({this->Settings.Zone}, Time, Routes, Upstreams, Metrics,
+      Steering({this->Settings.Zone, leastFlowsZoneFirst(this->Settings.Zone)},
+               Time, Routes, Upstreams, Metrics,
                {[this](const FlowAddress &Flow, const Upstream &Silent) {
                   logSilence(Flow, Silent);
                 },
--- a/tests/flow_steering_test.cpp
+++ b/tests/flow_steering_test.cpp
@@ -92,7 +92,7 @@
   SteeringMetrics Metrics;
   std::vector<uint64_t> Silent;
   std::vector<uint64_t> Checks;
-  FlowSteering Steering{{"a"},
+  FlowSteering Steering{{"a", leastFlowsZoneFirst("a")},
                         Time,
                         Routes,
                         Upstreams,
@@ -163,7 +163,8 @@
 // A throwaway trial broke open flows by resets in its first moments.
 TEST_F(FlowSteeringTest, WithoutAConfigurationNothingIsReset) {
   RouteTable Empty;
-  FlowSteering Fresh({"a"}, Time, Empty, Upstreams, Metrics, {});
+  FlowSteering Fresh({"a", leastFlowsZoneFirst("a")}, Time, Empty, Upstreams,
+                     Metrics, {});
   for (const PacketHeader &Packet : {opening(1), data(2, 11)}) {
     const SteeringDecision Decision = Fresh.steer(Packet);
     EXPECT_EQ(Decision.Action, SteeringAction::Drop);
