Name the upstream in the line of a reset; test that each reason is logged

A reset for the sake of a dead, gone or replaced upstream did not say which one: the decision held no upstream unless it forwarded, so its line had only the tag. The decision now keeps the upstream that it is about.

steering_log decides what is logged, apart from sockets. A test plays a case for each SteeringReason and expects one line with flow, reason and upstream or tag; a new reason fails until a case plays it. Another one bounds a flood of new flows. AResetNamesItsUpstream fails without the change.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -202,10 +202,10 @@
   if (!Ended)
     return {SteeringAction::Forward, Reason, &To};
   if (Packet.Finishes || Packet.Resets || Packet.DataBytes == 0)
-    return {SteeringAction::Drop, *Ended, nullptr};
+    return {SteeringAction::Drop, *Ended, &To};
   if (SteeredFlow *Flow = Flows.find(Packet.Flow))
     setPhase(*Flow, SteeredFlow::Phase::Closing);
-  return {SteeringAction::Reset, *Ended, nullptr};
+  return {SteeringAction::Reset, *Ended, &To};
 }
 
 SteeringDecision FlowSteering::followTag(const PacketHeader &Packet) {
@@ -265,7 +265,7 @@
 SteeringDecision FlowSteering::forward(SteeringReason Reason,
                                        Upstream &To) const {
   if (Upstreams.isAddressReused(To))
-    return {SteeringAction::Drop, SteeringReason::AddressReused, nullptr};
+    return {SteeringAction::Drop, SteeringReason::AddressReused, &To};
   return {SteeringAction::Forward, Reason, &To};
 }
 
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -4,14 +4,15 @@
 
 #include <unistd.h>
 
-#include "connect_check.h"
 #include "event_loop.h"
 #include "flow_steering.h"
 #include "forwarder_report.h"
 #include "http_server.h"
 #include "rotation_exit.h"
 #include "steady_clock.h"
+#include "steering_log.h"
 #include "udp_endpoint.h"
+#include "upstream_check.h"
 #include "version.h"
 
 namespace indigopoint {
@@ -29,26 +30,6 @@
 // long. Clients repeat after 200 ms, and most give up after 500 ms.
 constexpr Duration HoldTime = std::chrono::milliseconds(400);
 
-// Connections are accepted within a few milliseconds, also under load.
-constexpr Duration CheckTimeout = std::chrono::milliseconds(250);
-
-LogEvent eventOf(const SteeringDecision &Decision) {
-  if (Decision.Action == SteeringAction::Reset)
-    return LogEvent::FlowReset;
-  if (Decision.Action == SteeringAction::Drop)
-    return LogEvent::PacketDropped;
-  if (Decision.Reason == SteeringReason::MovedOpening)
-    return LogEvent::FlowMoved;
-  return Decision.Reason == SteeringReason::TaggedFlow ? LogEvent::FlowAdopted
-                                                       : LogEvent::FlowOpened;
-}
-
-// Packets that only follow an earlier decision are not logged.
-bool isLogged(SteeringReason Reason) {
-  return Reason != SteeringReason::KnownFlow &&
-         Reason != SteeringReason::RepeatedOpening;
-}
-
 } // namespace
 
 struct Forwarder::State {
@@ -59,16 +40,7 @@
   std::string openReport();
   ForwarderView view() const;
   void logSilence(const FlowAddress &Flow, const Upstream &Silent);
-  // Connections that tell together whether an upstream is there.
-  struct UpstreamCheck {
-    UpstreamId Id;
-    int Outstanding = 3;
-    bool IsAccepting = false;
-    bool IsControlAccepting = false;
-  };
-
   void check(const Upstream &Given);
-  void finishCheck(UpstreamCheck &Given);
   void onCheck(UpstreamId Id, bool IsAccepting);
   void startReceiving();
   void receive(std::string_view Datagram);
@@ -93,7 +65,7 @@
   FlowSteering Steering;
   StoreBeliefs Beliefs;
   StoreFollower Follower;
-  ConnectCheck Checks;
+  UpstreamCheck Checks;
   UdpEndpoint Data;
   HttpServer Ready;
   HttpServer Report;
@@ -124,8 +96,9 @@
                  Beliefs.apply(Update);
                  startReceiving();
                }),
-      Checks(Loop), Data(this->Protocol.MaxPacketBytes), Ready(Loop),
-      Report(Loop) {}
+      Checks(Loop, [this](UpstreamId Id,
+                          bool IsAccepting) { onCheck(Id, IsAccepting); }),
+      Data(this->Protocol.MaxPacketBytes), Ready(Loop), Report(Loop) {}
 
 std::string Forwarder::State::start() {
   Time.refresh();
@@ -201,33 +174,9 @@
   });
 }
 
-// A second connection covers a lost packet. A third one goes to an upstream
-// that answered lately: if it fails as well, the fault is on this side, such as
-// a link that is filled up.
 void Forwarder::State::check(const Upstream &Given) {
-  const Upstream *Control = Upstreams.lastAnswering(Given);
-  if (Control == nullptr)
-    return;
-  auto Running = std::make_shared<UpstreamCheck>();
-  Running->Id = Given.Registration.Id;
-  const auto OnSuspect = [this, Running](bool IsAccepting) {
-    Running->IsAccepting |= IsAccepting;
-    finishCheck(*Running);
-  };
-  Checks.start(Given.Registration.Address, CheckTimeout, OnSuspect);
-  Checks.start(Given.Registration.Address, CheckTimeout, OnSuspect);
-  Checks.start(Control->Registration.Address, CheckTimeout,
-               [this, Running](bool IsAccepting) {
-                 Running->IsControlAccepting = IsAccepting;
-                 finishCheck(*Running);
-               });
-}
-
-void Forwarder::State::finishCheck(UpstreamCheck &Given) {
-  if (--Given.Outstanding > 0)
-    return;
-  if (Given.IsAccepting || Given.IsControlAccepting)
-    onCheck(Given.Id, Given.IsAccepting);
+  if (const Upstream *Control = Upstreams.lastAnswering(Given))
+    Checks.start(Given, *Control);
 }
 
 void Forwarder::State::onCheck(UpstreamId Id, bool IsAccepting) {
@@ -269,8 +218,7 @@
   } else if (Decision.Action == SteeringAction::Reset) {
     sendReset(Packet);
   }
-  if (isLogged(Decision.Reason))
-    logDecision(Packet, Decision);
+  logDecision(Packet, Decision);
 }
 
 // Clients are reached at the port that this process receives at.
@@ -287,18 +235,11 @@
 
 void Forwarder::State::logDecision(const PacketHeader &Packet,
                                    const SteeringDecision &Decision) {
-  Log.write(eventOf(Decision), [&] {
-    EventLog::Fields Line = {{"flow", toString(Packet.Flow)},
-                             {"reason", nameOf(Decision.Reason)}};
-    if (Decision.To != nullptr) {
-      const UpstreamRegistration &Said = Decision.To->Registration;
-      Line["upstream"] = toHex(Said.Id);
-      Line["service"] = Said.Service;
-      Line["zone"] = Said.Zone;
-      Line["openFlows"] = Decision.To->OpenFlows;
-    } else {
-      Line["tag"] = Packet.Tag.value();
-    }
+  const auto Event = logEventOf(Decision);
+  if (!Event)
+    return;
+  Log.write(*Event, [&] {
+    EventLog::Fields Line = describe(Packet, Decision);
     Line.update(beliefs());
     return Line;
   });
--- a/src/steering_decision.h
+++ b/src/steering_decision.h
@@ -50,7 +50,8 @@
 struct SteeringDecision {
   SteeringAction Action = SteeringAction::Drop;
   SteeringReason Reason = SteeringReason::NoConfiguration;
-  /// Set when the packet is forwarded.
+  /// The upstream that a forwarded packet goes to, or for whose sake it does
+  /// not; null if there is none.
   const Upstream *To = nullptr;
 };
 
