--- a/scripts/check_platform_words.sh
+++ b/scripts/check_platform_words.sh
@@ -6,7 +6,7 @@
 words='kv-(key|range|watch|txn|lease|keep)|ColdLeftMs|StoreRevision|CreateRev'
 words+='|StaleOk|HasMore|HeartbeatMs|IdleTimeoutMs|RouteType'
 words+='|INDIGOPOINT_NODE_FILE|op/config|"servers/|/readiness'
-if git grep -nE "$words" -- src measure bench \
+if git grep -nE "$words" -- src measure bench soak \
   standins ":!standins/flow_platform.py"; then
   echo "words of the platform belong into platform/"
   exit 1
--- a/scripts/forward_demo.py
+++ b/scripts/forward_demo.py
@@ -9,8 +9,8 @@
 import tempfile
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "standins"))
-from flow_platform import (RESET, Client, Store, Upstream, configuration,  # noqa: E402
-                           wait_until)
+from flow_platform import (CONFIGURATION_KEY, RESET, Client, Store,  # noqa: E402
+                           Upstream, configuration, upstream_key, wait_until)
 from forwarder_process import Instance, free_port  # noqa: E402
 
 CHAT = ("198.18.0.1", 443)
@@ -27,14 +27,14 @@
         for each in self.chats:
             self.register(each, "chat")
         self.register(self.photos, "photos")
-        self.store.put("op/config", configuration(1, {CHAT: "chat", PHOTOS: "photos"}))
+        self.store.put(CONFIGURATION_KEY, configuration(1, {CHAT: "chat", PHOTOS: "photos"}))
         self.client = Client("127.0.2.1", port)
         self.instances = [Instance(program, folder, "instance-%d" % number,
                                    "127.0.1.%d" % number, port, self.store.address)
                           for number in (1, 2)]
 
     def register(self, upstream, service, state="ready"):
-        self.store.put("servers/i-%x" % upstream.identity, upstream.registration(service, state))
+        self.store.put(upstream_key(upstream.identity), upstream.registration(service, state))
 
     def holder(self, port):
         """The upstream that got the opening packet of a flow."""
@@ -73,7 +73,7 @@
         self.reaches(second, CHAT, flow, answer.tag, upstream, b"while it drains")
         print("a draining upstream keeps its flows and gets no new one")
 
-        self.store.put("op/config", configuration(2, {CHAT: "chat"}))
+        self.store.put(CONFIGURATION_KEY, configuration(2, {CHAT: "chat"}))
         wait_until(lambda: self.client.open(second.data, PHOTOS)[1].flags == RESET,
                    "a removed route is refused")
         print("a removed route is refused at once")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,7 @@
 import time
 
 from fault_proxy import Mode
-from flow_platform import configuration
+from flow_platform import CONFIGURATION_KEY, configuration
 
 PAUSE_S = (0.05, 4)
 DOWN_S = (0.1, 3)
@@ -282,5 +282,5 @@
             self.number += 1
             version = self.version_type(self.number, dict(routes), time.monotonic(), float("inf"))
             self.oracle.note_version(version)
-            self.store.put("op/config", configuration(self.number, routes))
+            self.store.put(CONFIGURATION_KEY, configuration(self.number, routes))
             version.acknowledged = time.monotonic()
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -15,7 +15,7 @@
 sys.path[:0] = [str(ROOT / "standins"), str(ROOT / "soak")]
 from fault_proxy import FaultProxy  # noqa: E402
 from faults import Changes, Faults  # noqa: E402
-from flow_platform import Store, Upstream, wait_until  # noqa: E402
+from flow_platform import Store, Upstream, upstream_key, wait_until  # noqa: E402
 from forwarder_process import Instance, free_port  # noqa: E402
 from oracle import Oracle, Version  # noqa: E402
 from traffic import Clients, Fabric  # noqa: E402
@@ -62,7 +62,7 @@
     def add_upstream(self, number, service, port):
         upstream = Upstream(0x4000000000 + number, "127.0.3.%d" % number, port, port)
         upstream.service, upstream.born = service, 1
-        upstream.key = "servers/i-%x" % upstream.identity
+        upstream.key = upstream_key(upstream.identity)
         self.upstreams.append(upstream)
 
     def add_instance(self, program, folder, number, port):
--- a/standins/flow_platform.py
+++ b/standins/flow_platform.py
@@ -12,6 +12,13 @@
 
 HEADER = struct.Struct(">IHIHIHIIIB")
 OPEN, ACKNOWLEDGE, FINISH, RESET = 32, 1, 4, 128
+# What routers ask instances for.
+READY_PATH = "/readiness"
+CONFIGURATION_KEY = "op/config"
+
+
+def upstream_key(identity):
+    return "servers/i-%x" % identity
 
 
 def number_of(address):
--- a/standins/forwarder_process.py
+++ b/standins/forwarder_process.py
@@ -6,6 +6,8 @@
 import urllib.error
 import urllib.request
 
+from flow_platform import READY_PATH
+
 
 def free_port():
     with socket.socket() as probe:
@@ -38,7 +40,8 @@
 
     def is_ready(self, timeout=2):
         try:
-            answer = urllib.request.urlopen("http://%s/readiness" % self.ready, timeout=timeout)
+            answer = urllib.request.urlopen("http://" + self.ready + READY_PATH,
+                                            timeout=timeout)
             return answer.status == 200
         except (urllib.error.URLError, OSError):
             return False
