Serve from the first page of the store

Cause: at 300 instances and 3,000 upstreams that start together each reads seven pages one after another, and the store's link carries 300 times 1 MB: 2.1 s until an instance had any configuration. Ruled out: calls that failed (none), turned away or repeated.

Change: StoreSync tells each page at once. Registrations that no page named are removed after the last one; peers are told nothing before it; a new flow that finds no upstream meanwhile is dropped and not refused; readiness waits for the last page, so that routers keep flows at instances that know all upstreams.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -96,8 +96,10 @@
                      : choose(Share->Service, {Packet.Flow, Avoided});
   if (To == nullptr) {
     // A copy may follow one that another instance sent on, so its flow could
-    // be open; only a first opening packet is refused.
-    const bool MayRefuse = Flow == nullptr && Packet.Acknowledged == 0;
+    // be open; only a first opening packet is refused. Before all upstreams
+    // were read, its copy may find one.
+    const bool MayRefuse =
+        Flow == nullptr && Packet.Acknowledged == 0 && Upstreams.isComplete();
     return {MayRefuse ? SteeringAction::Reset : SteeringAction::Drop,
             SteeringReason::NoUpstream, nullptr};
   }
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -50,7 +50,9 @@
   void maintain();
   void stop();
   void finishStop();
-  bool isReady() const { return !Exit && Routes.isLoaded(); }
+  bool isReady() const {
+    return !Exit && Routes.isLoaded() && Upstreams.isComplete();
+  }
   EventLog::Fields beliefs() const;
 
   EventLoop &Loop;
--- a/src/store_beliefs.cpp
+++ b/src/store_beliefs.cpp
@@ -14,12 +14,13 @@
 } // namespace
 
 void StoreBeliefs::apply(const StoreSync::Update &Update) {
-  Present.clear();
+  if (!Update.isOfSnapshot() || Update.startsSnapshot())
+    Present.clear();
   for (const StoreItem &Item : Update.Items)
     std::visit(Overloaded{[](const ItemIgnored &) {},
                           [&](const auto &Fact) { take(Item, Fact); }},
                Decode(Item));
-  if (Update.Complete)
+  if (Update.endsSnapshot())
     removeAbsent();
 }
 
@@ -68,6 +69,7 @@
   Upstreams.retain(Present, Time.now(), [this](UpstreamId Id) {
     logUpstream(Id, UpstreamRegistry::Change::Removed, 0);
   });
+  Upstreams.noteComplete();
 }
 
 void StoreBeliefs::logUpstream(UpstreamId Id, UpstreamRegistry::Change Change,
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -108,10 +108,10 @@
     logStore(FailuresBefore, Status);
   if (Update) {
     Mirror.apply(*Update, Sync.revision());
-    if (Update->Complete)
+    if (Update->endsSnapshot())
       Log.write(LogEvent::SnapshotTaken, [&] {
         return EventLog::Fields{
-            {"items", Update->Items.size()},
+            {"items", Mirror.size()},
             {"revision", Sync.revision()},
             {"source", Query.Peer ? toString(*Query.Peer) : "store"}};
       });
--- a/src/store_mirror.cpp
+++ b/src/store_mirror.cpp
@@ -13,17 +13,29 @@
 } // namespace
 
 void StoreMirror::apply(const StoreSync::Update &Update, uint64_t AtRevision) {
-  if (Update.Complete) {
-    Items.clear();
-    BaseRevision = AtRevision;
-    Loaded = true;
-  }
-  for (const StoreItem &Item : Update.Items)
+  if (Update.startsSnapshot())
+    Named.clear();
+  for (const StoreItem &Item : Update.Items) {
     Items[Item.Key] = Item;
+    if (Update.isOfSnapshot())
+      Named.insert(Item.Key);
+  }
+  if (Update.endsSnapshot())
+    finishSnapshot(AtRevision);
+  else if (Update.isOfSnapshot())
+    return;
   Revision = std::max(Revision, AtRevision);
   forgetDeletions();
 }
 
+void StoreMirror::finishSnapshot(uint64_t AtRevision) {
+  std::erase_if(
+      Items, [this](const auto &Each) { return Named.count(Each.first) == 0; });
+  Named.clear();
+  BaseRevision = AtRevision;
+  Loaded = true;
+}
+
 void StoreMirror::forgetDeletions() {
   std::vector<uint64_t> Deletions;
   for (const auto &[Key, Item] : Items)
--- a/src/store_mirror.h
+++ b/src/store_mirror.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,8 @@
 /// Keeps what the store said, so that other instances can learn it from here.
 class StoreMirror {
 public:
+  /// Pages of a snapshot do not count before its last one: until then the
+  /// revision stays as it was.
   void apply(const StoreSync::Update &Update, uint64_t Revision);
 
   bool isLoaded() const { return Loaded; }
@@ -24,7 +27,11 @@
   /// All items that exist.
   std::vector<StoreItem> all() const;
 
+  /// How many items are kept, with those whose deletion is remembered.
+  size_t size() const { return Items.size(); }
+
 private:
+  void finishSnapshot(uint64_t AtRevision);
   void forgetDeletions();
 
   bool Loaded = false;
@@ -33,6 +40,8 @@
   uint64_t BaseRevision = 0;
   /// Includes deleted items.
   std::map<std::string, StoreItem> Items;
+  /// The keys of the snapshot that is under way.
+  std::set<std::string> Named;
 };
 
 } // namespace indigopoint
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -49,8 +49,8 @@
   Query.Timeout = AskingPeer ? PeerTimeout : CallTimeout;
   if (TakingSnapshot) {
     if (AskingPeer)
-      Pages.clear();
-    Query.AfterKey = Pages.empty() ? "" : Pages.back().Key;
+      LastKey.clear();
+    Query.AfterKey = LastKey;
     return Query;
   }
   Query.What = StoreQuery::Kind::Watch;
@@ -75,7 +75,7 @@
   case StoreResult::Status::HistoryLost:
     Failures = 0;
     TakingSnapshot = true;
-    Pages.clear();
+    LastKey.clear();
     return std::nullopt;
   case StoreResult::Status::Refused:
   case StoreResult::Status::Failed:
@@ -100,7 +100,9 @@
   } else if (Result.Items.empty()) {
     return std::nullopt;
   }
-  return Update{Result.Complete, std::move(Result.Items)};
+  return Update{Result.Complete ? Update::Content::Snapshot
+                                : Update::Content::Changes,
+                std::move(Result.Items)};
 }
 
 // Instances that failed together do not come back together.
@@ -118,15 +120,23 @@
 std::optional<StoreSync::Update> StoreSync::onPage(StoreResult &Result) {
   // Later pages may hold newer values than the first; watching from the
   // revision of the first repeats them and misses none.
-  if (Pages.empty())
+  const bool IsFirst = LastKey.empty();
+  const bool IsLast = !Result.MorePages || Result.Items.empty();
+  if (IsFirst)
     Revision = Result.Revision;
-  std::move(Result.Items.begin(), Result.Items.end(),
-            std::back_inserter(Pages));
-  if (Result.MorePages && !Result.Items.empty())
-    return std::nullopt;
-  TakingSnapshot = false;
-  Synced = true;
-  return Update{true, std::exchange(Pages, {})};
+  LastKey = IsLast ? "" : Result.Items.back().Key;
+  if (IsLast) {
+    TakingSnapshot = false;
+    Synced = true;
+  }
+  // Each page is told at once: reading all of them can take seconds when many
+  // instances start together, and flows can be served with the first ones.
+  Update::Content What = Update::Content::NextPage;
+  if (IsFirst)
+    What = IsLast ? Update::Content::Snapshot : Update::Content::FirstPage;
+  else if (IsLast)
+    What = Update::Content::LastPage;
+  return Update{What, std::move(Result.Items)};
 }
 
 std::optional<StoreSync::Update> StoreSync::onEvents(StoreResult &Result) {
@@ -134,7 +144,7 @@
   if (Result.Items.empty())
     return std::nullopt;
   NextAt += PauseAfterChange;
-  return Update{false, std::move(Result.Items)};
+  return Update{Update::Content::Changes, std::move(Result.Items)};
 }
 
 } // namespace indigopoint
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -82,8 +82,26 @@
 public:
   /// What an answer brought.
   struct Update {
-    /// The items are all that the store holds; others are gone.
-    bool Complete = false;
+    enum class Content : uint8_t {
+      /// Items that changed.
+      Changes,
+      /// All that the store holds; others are gone.
+      Snapshot,
+      /// A part of that. Items that no page named are gone after the last one.
+      FirstPage,
+      NextPage,
+      LastPage
+    };
+
+    bool isOfSnapshot() const { return What != Content::Changes; }
+    bool startsSnapshot() const {
+      return What == Content::Snapshot || What == Content::FirstPage;
+    }
+    bool endsSnapshot() const {
+      return What == Content::Snapshot || What == Content::LastPage;
+    }
+
+    Content What = Content::Changes;
     std::vector<StoreItem> Items;
   };
 
@@ -129,7 +147,8 @@
   uint64_t Revision = 0;
   TimePoint NextAt{};
   TimePoint ConfirmedAt{};
-  std::vector<StoreItem> Pages;
+  /// The last key of the pages that were read; empty before the first one.
+  std::string LastKey;
 };
 
 } // namespace indigopoint
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -90,6 +90,10 @@
   /// last; null if none did.
   const Upstream *lastAnswering(const Upstream &Given) const;
 
+  /// All registrations of the store were read once.
+  void noteComplete() { Complete = true; }
+  bool isComplete() const { return Complete; }
+
   /// The store confirmed what is known at \p When.
   void noteConfirmed(TimePoint When) { ConfirmedAt = When; }
 
@@ -112,6 +116,7 @@
   void link(Upstream &Given);
   void unlink(Upstream &Given);
 
+  bool Complete = false;
   TimePoint ConfirmedAt{};
   std::map<UpstreamId, Upstream> Upstreams;
   /// By the part of a tag that depends on the upstream only.
--- a/standins/flow_platform.py
+++ b/standins/flow_platform.py
@@ -193,10 +193,15 @@
         self.socket.close()
         self.listener.close()
 
-    def registration(self, service, state="ready", born=1):
-        return {"Service": service, "Address": self.address, "Zone": "zone-a", "Version": "v1",
+    @staticmethod
+    def describe(address, service, state="ready", born=1):
+        """What an upstream registers."""
+        return {"Service": service, "Address": address, "Zone": "zone-a", "Version": "v1",
                 "Concurrency": 2, "State": state, "ColdLeftMs": 0, "Seq": 1, "born": born}
 
+    def registration(self, service, state="ready", born=1):
+        return self.describe(self.address, service, state, born)
+
     def serve(self, own):
         while True:
             try:
--- a/standins/forwarder_process.py
+++ b/standins/forwarder_process.py
@@ -18,7 +18,10 @@
 class Instance:
     """One forwarder process that is started at once."""
 
-    def __init__(self, program, folder, name, address, data_port, store, **settings):
+    def __init__(self, program, folder, name, address, data_port, store, is_blocked=False,
+                 **settings):
+        # Nobody reads the standard output of a blocked one.
+        self.is_blocked = is_blocked
         self.program, self.name, self.data = program, name, (address, data_port)
         self.ready = "%s:%d" % (address, free_port())
         self.peer = settings.pop("peerAddress", None) or "%s:%d" % (address, free_port())
@@ -34,9 +37,12 @@
         self.settings.write_text(text)
 
     def start(self):
+        command = [self.program, "forward", "--settings", str(self.settings)]
+        if self.is_blocked:
+            self.process = subprocess.Popen(command, stdout=subprocess.PIPE)
+            return
         with open(self.log, "ab") as log:
-            self.process = subprocess.Popen(
-                [self.program, "forward", "--settings", str(self.settings)], stdout=log)
+            self.process = subprocess.Popen(command, stdout=log)
 
     def is_ready(self, timeout=2):
         try:
--- a/tests/flow_steering_test.cpp
+++ b/tests/flow_steering_test.cpp
@@ -105,6 +105,17 @@
   EXPECT_EQ(Decision.Reason, SteeringReason::NoUpstream);
 }
 
+// Guards against refusals in the moments after a start, while registrations
+// are still being read.
+TEST_F(FlowSteeringTest, NothingIsRefusedBeforeAllUpstreamsWereRead) {
+  UpstreamRegistry Partial;
+  FlowSteering Fresh({"a", leastFlowsZoneFirst("a")}, Time, Routes, Partial,
+                     Metrics, {});
+  EXPECT_EQ(Fresh.steer(opening(1)).Action, SteeringAction::Drop);
+  Partial.noteComplete();
+  EXPECT_EQ(Fresh.steer(opening(2)).Action, SteeringAction::Reset);
+}
+
 // An earlier copy may have gone through another instance and opened the flow.
 TEST_F(FlowSteeringTest, ACopyOfAnOpeningIsNeverRefused) {
   Upstreams.remove(UpstreamId(21), Time.now());
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -74,7 +74,8 @@
 }
 
 TEST_F(PeerExchangeTest, AStartTakesAWholeCopyWithItsAge) {
-  Teller.Mirror.apply({true, {{"k", std::string("\0\xff", 2), 5, 4, false}}},
+  Teller.Mirror.apply({StoreSync::Update::Content::Snapshot,
+                       {{"k", std::string("\0\xff", 2), 5, 4, false}}},
                       9);
   const StoreResult Got = ask(0, 0s);
   ASSERT_EQ(Got.What, StoreResult::Status::Answered);
@@ -87,7 +88,7 @@
 }
 
 TEST_F(PeerExchangeTest, AChangeAnswersAQuestionThatWaits) {
-  Teller.Mirror.apply({true, {}}, 9);
+  Teller.Mirror.apply({StoreSync::Update::Content::Snapshot, {}}, 9);
   bool Done = false;
   StoreResult Got;
   Asker.Exchange.ask(target(), 9, 5s, 5s, [&](StoreResult Result) {
@@ -96,7 +97,8 @@
   });
   runUntil(Loop, [&] { return Teller.Peers.size() == 1; });
   EXPECT_FALSE(Done);
-  Teller.Mirror.apply({false, {{"k", "v", 10, 10, false}}}, 10);
+  Teller.Mirror.apply(
+      {StoreSync::Update::Content::Changes, {{"k", "v", 10, 10, false}}}, 10);
   TellerExchange->notify();
   ASSERT_TRUE(runUntil(Loop, [&] { return Done; }));
   EXPECT_FALSE(Got.Complete);
@@ -104,7 +106,7 @@
 }
 
 TEST_F(PeerExchangeTest, AQuestionWaitsNoLongerThanAsked) {
-  Teller.Mirror.apply({true, {}}, 9);
+  Teller.Mirror.apply({StoreSync::Update::Content::Snapshot, {}}, 9);
   const StoreResult Got = ask(9, 50ms);
   EXPECT_EQ(Got.What, StoreResult::Status::Answered);
   EXPECT_TRUE(Got.Items.empty());
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -25,6 +25,7 @@
     add(12, "chat", "a");
     add(13, "chat", "b");
     add(21, "photos", "a");
+    Upstreams.noteComplete();
   }
 
   void configure(uint64_t Version, std::vector<Route> Given) {
--- a/tests/store_beliefs_test.cpp
+++ b/tests/store_beliefs_test.cpp
@@ -26,10 +26,12 @@
 
 class StoreBeliefsTest : public testing::Test {
 protected:
-  void apply(bool Complete, const std::vector<std::string> &Keys,
+  using Content = StoreSync::Update::Content;
+
+  void apply(Content What, const std::vector<std::string> &Keys,
              bool Deleted = false) {
     StoreSync::Update Update;
-    Update.Complete = Complete;
+    Update.What = What;
     for (const std::string &Key : Keys)
       Update.Items.push_back({Key, "", ++Revision, Revision, Deleted});
     Beliefs.apply(Update);
@@ -53,44 +55,63 @@
 };
 
 TEST_F(StoreBeliefsTest, EachChangeOfABeliefIsLoggedOnce) {
-  apply(true, {"u1", "u2", "c7"});
+  apply(Content::Snapshot, {"u1", "u2", "c7"});
   EXPECT_EQ(lines("upstream-changed"), 2U);
   EXPECT_EQ(lines("configuration-applied"), 1U);
-  apply(false, {"c5"});
+  apply(Content::Changes, {"c5"});
   EXPECT_EQ(lines("configuration-ignored"), 1U);
   EXPECT_EQ(Routes.version(), ConfigVersion(7));
 }
 
 TEST_F(StoreBeliefsTest, ASnapshotRemovesUpstreamsThatItDoesNotHold) {
-  apply(true, {"u1", "u2"});
-  apply(true, {"u2"});
+  apply(Content::Snapshot, {"u1", "u2"});
+  apply(Content::Snapshot, {"u2"});
   EXPECT_EQ(Upstreams.find(UpstreamId(1))->State, UpstreamState::Unregistered);
   EXPECT_EQ(Upstreams.find(UpstreamId(2))->State, UpstreamState::Ready);
   EXPECT_EQ(lines("upstream-changed"), 3U);
 }
 
 TEST_F(StoreBeliefsTest, AChangeAloneRemovesNothing) {
-  apply(true, {"u1", "u2"});
-  apply(false, {"u3"});
+  apply(Content::Snapshot, {"u1", "u2"});
+  apply(Content::Changes, {"u3"});
   EXPECT_EQ(Upstreams.count(UpstreamState::Ready), 3U);
 }
 
 // An entry of another writer names no upstream to use; the others hold.
 TEST_F(StoreBeliefsTest, AnUnreadableEntryTakesItsUpstreamOutOfUse) {
-  apply(true, {"u1", "u2"});
-  apply(false, {"bad1"});
+  apply(Content::Snapshot, {"u1", "u2"});
+  apply(Content::Changes, {"bad1"});
   EXPECT_EQ(Upstreams.find(UpstreamId(1))->State, UpstreamState::Unregistered);
   EXPECT_EQ(Upstreams.find(UpstreamId(2))->State, UpstreamState::Ready);
   EXPECT_EQ(lines("entry-unreadable"), 1U);
-  apply(false, {"u1"});
+  apply(Content::Changes, {"u1"});
   EXPECT_EQ(Upstreams.find(UpstreamId(1))->State, UpstreamState::Ready);
 }
 
 TEST_F(StoreBeliefsTest, ADeletionTakesAnUpstreamOutOfUse) {
-  apply(true, {"u1"});
-  apply(false, {"u1"}, true);
+  apply(Content::Snapshot, {"u1"});
+  apply(Content::Changes, {"u1"}, true);
   EXPECT_EQ(Upstreams.find(UpstreamId(1))->State, UpstreamState::Unregistered);
 }
 
+// Seen at 300 instances that started together: each waited 2 s for all pages
+// before it served with the first one.
+TEST_F(StoreBeliefsTest, PagesAreUsedAtOnceAndRemoveNothingBeforeTheLast) {
+  apply(Content::Snapshot, {"u1", "u2"});
+  apply(Content::FirstPage, {"c7", "u3"});
+  EXPECT_TRUE(Routes.isLoaded());
+  EXPECT_EQ(Upstreams.count(UpstreamState::Ready), 3U);
+  apply(Content::LastPage, {"u2"});
+  EXPECT_EQ(Upstreams.find(UpstreamId(1))->State, UpstreamState::Unregistered);
+  EXPECT_EQ(Upstreams.count(UpstreamState::Ready), 2U);
+}
+
+TEST_F(StoreBeliefsTest, TheFirstSnapshotIsCompleteAfterItsLastPage) {
+  apply(Content::FirstPage, {"u1"});
+  EXPECT_FALSE(Upstreams.isComplete());
+  apply(Content::LastPage, {"u2"});
+  EXPECT_TRUE(Upstreams.isComplete());
+}
+
 } // namespace
 } // namespace indigopoint
--- a/tests/store_mirror_test.cpp
+++ b/tests/store_mirror_test.cpp
@@ -5,6 +5,8 @@
 namespace indigopoint {
 namespace {
 
+using Content = StoreSync::Update::Content;
+
 StoreItem item(const std::string &Key, uint64_t Revision,
                bool Deleted = false) {
   return {Key, Deleted ? "" : "v", Revision, Revision, Deleted};
@@ -13,10 +15,10 @@
 TEST(StoreMirror, TellsChangesSinceARevision) {
   StoreMirror Mirror;
   EXPECT_FALSE(Mirror.since(0));
-  Mirror.apply({true, {item("a", 3), item("b", 5)}}, 10);
+  Mirror.apply({Content::Snapshot, {item("a", 3), item("b", 5)}}, 10);
   EXPECT_FALSE(Mirror.since(9));
   EXPECT_TRUE(Mirror.since(10)->empty());
-  Mirror.apply({false, {item("a", 11), item("b", 12, true)}}, 12);
+  Mirror.apply({Content::Changes, {item("a", 11), item("b", 12, true)}}, 12);
   EXPECT_EQ(Mirror.since(10)->size(), 2U);
   EXPECT_EQ(Mirror.since(11)->size(), 1U);
   EXPECT_EQ(Mirror.all().size(), 1U);
@@ -24,22 +26,46 @@
 
 TEST(StoreMirror, ACompleteUpdateReplacesEverything) {
   StoreMirror Mirror;
-  Mirror.apply({true, {item("a", 3)}}, 10);
-  Mirror.apply({true, {item("b", 15)}}, 20);
+  Mirror.apply({Content::Snapshot, {item("a", 3)}}, 10);
+  Mirror.apply({Content::Snapshot, {item("b", 15)}}, 20);
   EXPECT_EQ(Mirror.all().size(), 1U);
   EXPECT_FALSE(Mirror.since(15));
 }
 
+// A peer that was told half of a snapshot as if it were all would miss the
+// rest.
+TEST(StoreMirror, PagesCountAfterTheLastOne) {
+  StoreMirror Mirror;
+  Mirror.apply({Content::FirstPage, {item("a", 3)}}, 10);
+  EXPECT_FALSE(Mirror.isLoaded());
+  EXPECT_FALSE(Mirror.since(0));
+  Mirror.apply({Content::LastPage, {item("b", 5)}}, 10);
+  EXPECT_EQ(Mirror.all().size(), 2U);
+  EXPECT_EQ(Mirror.revision(), 10U);
+}
+
+TEST(StoreMirror, AKeyThatNoPageNamedIsGone) {
+  StoreMirror Mirror;
+  Mirror.apply({Content::Snapshot, {item("a", 3), item("b", 5)}}, 10);
+  Mirror.apply({Content::FirstPage, {item("b", 5)}}, 20);
+  EXPECT_EQ(Mirror.revision(), 10U);
+  EXPECT_EQ(Mirror.all().size(), 2U);
+  Mirror.apply({Content::LastPage, {item("c", 15)}}, 20);
+  EXPECT_EQ(Mirror.all().size(), 2U);
+  EXPECT_EQ(Mirror.revision(), 20U);
+}
+
 // A peer that missed a deletion must take a whole copy instead of keeping the
 // key for ever.
 TEST(StoreMirror, ForgottenDeletionsEndTheHistory) {
   StoreMirror Mirror;
-  Mirror.apply({true, {}}, 1);
+  Mirror.apply({Content::Snapshot, {}}, 1);
   uint64_t Revision = 1;
   for (int Index = 0; Index < 2000; ++Index) {
     ++Revision;
-    Mirror.apply({false, {item(std::to_string(Index), Revision, true)}},
-                 Revision);
+    Mirror.apply(
+        {Content::Changes, {item(std::to_string(Index), Revision, true)}},
+        Revision);
   }
   EXPECT_FALSE(Mirror.since(1));
   ASSERT_TRUE(Mirror.since(Revision - 100));
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -11,6 +11,8 @@
 
 // A sync in virtual time. Its snapshot has been taken at revision 10 once
 // takeSnapshot was called.
+using Content = StoreSync::Update::Content;
+
 class StoreSyncTest : public testing::Test {
 protected:
   static StoreResult answered(uint64_t Revision,
@@ -63,7 +65,7 @@
   EXPECT_EQ(First->What, StoreQuery::Kind::Snapshot);
   const auto Update = Sync.onResult(answered(10, {item("a", 5)}));
   ASSERT_TRUE(Update);
-  EXPECT_TRUE(Update->Complete);
+  EXPECT_EQ(Update->What, Content::Snapshot);
   const StoreQuery Watch = nextCall();
   EXPECT_EQ(Watch.What, StoreQuery::Kind::Watch);
   EXPECT_EQ(Watch.AfterRevision, 10U);
@@ -75,12 +77,17 @@
   ASSERT_TRUE(next());
   StoreResult First = answered(10, {item("a", 5)});
   First.MorePages = true;
-  EXPECT_FALSE(Sync.onResult(First));
+  const auto Page = Sync.onResult(First);
+  ASSERT_TRUE(Page);
+  EXPECT_EQ(Page->What, Content::FirstPage);
+  EXPECT_EQ(Page->Items.size(), 1U);
+  EXPECT_FALSE(Sync.isSynced());
   const StoreQuery Second = nextCall();
   EXPECT_EQ(Second.AfterKey, "a");
-  const auto Update = Sync.onResult(answered(14, {item("b", 12)}));
-  ASSERT_TRUE(Update);
-  EXPECT_EQ(Update->Items.size(), 2U);
+  const auto Last = Sync.onResult(answered(14, {item("b", 12)}));
+  ASSERT_TRUE(Last);
+  EXPECT_EQ(Last->What, Content::LastPage);
+  EXPECT_EQ(Last->Items.size(), 1U);
   EXPECT_EQ(nextCall().AfterRevision, 10U);
 }
 
@@ -178,7 +185,7 @@
   Told.Complete = true;
   const auto Update = Sync.onResult(Told);
   ASSERT_TRUE(Update);
-  EXPECT_TRUE(Update->Complete);
+  EXPECT_EQ(Update->What, Content::Snapshot);
   EXPECT_TRUE(Sync.isSynced());
   EXPECT_EQ(nextCall().AfterRevision, 12U);
 }
@@ -197,6 +204,7 @@
   Told.Complete = true;
   const auto Update = Sync.onResult(Told);
   ASSERT_TRUE(Update);
+  EXPECT_EQ(Update->What, Content::Snapshot);
   EXPECT_EQ(Update->Items.size(), 1U);
 }
 
