--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,10 @@
 SEED ?= 1
 SECONDS_OF_TRAFFIC ?= 20
 MINUTES ?= 1
+ROUNDS ?= 9
+PACKETS ?= 60000
 
-.PHONY: deps build test lint format generate sanitize demo forward-demo soak measure bench fuzz clean
+.PHONY: deps build test lint format generate sanitize demo forward-demo soak flood measure bench fuzz clean
 
 deps:
 	@scripts/install_packages.sh
@@ -44,6 +46,10 @@
 soak: build
 	@python3 soak/soak.py $(BUILD)/indigopoint --seed $(SEED) --minutes $(MINUTES)
 
+# What a packet costs with and without logs and scrapes; none may be lost.
+flood: build
+	@python3 scripts/forward_flood.py $(BUILD)/indigopoint --rounds $(ROUNDS) --packets $(PACKETS)
+
 measure: build
 	@$(BUILD)/indigopoint_measure --output $(BUILD)/measure.json
 
--- a/measure/steering.cpp
+++ b/measure/steering.cpp
@@ -108,8 +108,9 @@
         InZone.emplace_back(
             rendezvousScore(hashOf(Given.Flow), Each->Registration.Id.value()),
             Each);
-    std::partial_sort(InZone.begin(),
-                      InZone.begin() + std::min<size_t>(2, InZone.size()),
+    const auto Candidates =
+        static_cast<ptrdiff_t>(std::min<size_t>(2, InZone.size()));
+    std::partial_sort(InZone.begin(), InZone.begin() + Candidates,
                       InZone.end());
     Upstream *First = InZone.front().second;
     Upstream *Second = InZone.at(InZone.size() > 1 ? 1 : 0).second;
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -37,12 +37,13 @@
   }
 
   PeerExchangeTest()
-      : Teller(Loop, freePort(Loop)), Asker(Loop, {0x7f000001, 9}) {}
+      : TellerAddress(freePort(Loop)), Teller(Loop, TellerAddress),
+        Asker(Loop, {0x7f000001, 9}) {}
 
   StoreResult ask(uint64_t After, Duration Wait) {
     StoreResult Got;
     bool Done = false;
-    Asker.Exchange.ask(target(), After, Wait, 2s, [&](StoreResult Result) {
+    Asker.Exchange.ask(TellerAddress, After, Wait, 2s, [&](StoreResult Result) {
       Got = std::move(Result);
       Done = true;
     });
@@ -50,21 +51,12 @@
     return Got;
   }
 
-  Endpoint target() { return TellerAddress; }
-
-  void SetUp() override {
-    TellerAddress = freePort(Loop);
-    TellerExchange = std::make_unique<PeerExchange>(
-        Loop, Teller.Http, PeerNews{TellerAddress, "a", 0s, 100}, Teller.Peers,
-        Teller.Mirror, [] { return 700ms; });
-    ASSERT_FALSE(TellerExchange->open());
-  }
+  void SetUp() override { ASSERT_FALSE(Teller.Exchange.open()); }
 
   EventLoop Loop;
+  Endpoint TellerAddress;
   Instance Teller;
   Instance Asker;
-  Endpoint TellerAddress;
-  std::unique_ptr<PeerExchange> TellerExchange;
 };
 
 TEST_F(PeerExchangeTest, AnInstanceThatKnowsNothingSaysSo) {
@@ -91,7 +83,7 @@
   Teller.Mirror.apply({StoreSync::Update::Content::Snapshot, {}}, 9);
   bool Done = false;
   StoreResult Got;
-  Asker.Exchange.ask(target(), 9, 5s, 5s, [&](StoreResult Result) {
+  Asker.Exchange.ask(TellerAddress, 9, 5s, 5s, [&](StoreResult Result) {
     Got = std::move(Result);
     Done = true;
   });
@@ -99,7 +91,7 @@
   EXPECT_FALSE(Done);
   Teller.Mirror.apply(
       {StoreSync::Update::Content::Changes, {{"k", "v", 10, 10, false}}}, 10);
-  TellerExchange->notify();
+  Teller.Exchange.notify();
   ASSERT_TRUE(runUntil(Loop, [&] { return Done; }));
   EXPECT_FALSE(Got.Complete);
   EXPECT_EQ(Got.Items.size(), 1U);
