Show a forwarder's beliefs by the status command; plain names in the soak

indigopoint status read only the report of serve and called that of a forwarder malformed. It now prints its beliefs and their age.

The soak's terms are the usual ones (defect, oldest version, silenced upstream).

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,9 +25,9 @@
         self.busy = set()
         self.pending = []
         self.counts = {}
-        self.kinds = [self.pause, self.kill, self.stop, self.store_link, self.silence_open,
+        self.kinds = [self.pause, self.kill, self.stop, self.store_link, self.silence_connections,
                       self.turn_away, self.reload, self.broken_settings, self.outage, self.slow,
-                      self.forget, self.lapse, self.drain, self.crash, self.dark,
+                      self.forget, self.lapse, self.drain, self.crash, self.silence_upstream,
                       self.toggle_route, self.toggle_route, self.burst_of_changes]
 
     def step(self):
@@ -129,7 +129,7 @@
         self.disturb(instance.name, self.duration(FAULT_S), lambda: instance.proxy.set(Mode.PASS))
         return True
 
-    def silence_open(self):
+    def silence_connections(self):
         # The network lost track of open connections; nothing excuses the instance.
         self.random.choice(self.system.instances).proxy.silence_open()
         return True
@@ -180,10 +180,10 @@
     def slow(self):
         self.system.store.delay_s = self.random.uniform(0.05, 0.6)
 
-        def hurry():
+        def restore():
             self.system.store.delay_s = 0
 
-        self.disturb("store", self.duration(FAULT_S), hurry)
+        self.disturb("store", self.duration(FAULT_S), restore)
         return True
 
     def forget(self):
@@ -245,17 +245,17 @@
         self.disturb(upstream.key, self.duration((1.5, 5)), start)
         return True
 
-    def dark(self):
+    def silence_upstream(self):
         upstream = self.claim(self.system.spare_upstreams())
         if upstream is None:
             return False
         upstream.is_silent = True
 
-        def light():
+        def speak():
             upstream.is_silent = False
             self.release(upstream)
 
-        self.disturb(upstream.key, self.duration(FAULT_S), light)
+        self.disturb(upstream.key, self.duration(FAULT_S), speak)
         return True
 
     # The configuration.
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -57,7 +57,7 @@
         # The upstream that has the end of the handshake, by the client's end.
         self.holders = {}
         # The oldest version that an instance may still follow, by its boot.
-        self.floors = {}
+        self.oldest_versions = {}
 
     def violate(self, now, text):
         self.violations.append("%.3f: %s" % (now, text))
@@ -132,10 +132,9 @@
         if holder is not None and upstream_is_calm(holder) and route_stands:
             self.violate(now, "reset: flow %s, open at %x, was reset" % (flow, holder))
 
-    def check_probe(self, instance, boot, route, was_forwarded, sent, floor, now):
-        """Judges an opening packet for a route that comes and goes. `floor` is
-        what floor() said when it was sent."""
-        oldest = floor
+    def check_probe(self, instance, boot, route, was_forwarded, sent, oldest, now):
+        """Judges an opening packet for a route that comes and goes. `oldest`
+        is what oldest_version() said when it was sent."""
         if self.in_touch(instance, sent):
             bound = self.bounds.configuration + self.bounds.slack
             oldest = max(oldest, self.current_version(sent - bound).number)
@@ -149,11 +148,11 @@
                                   oldest))
             return
         key = (instance, boot)
-        self.floors[key] = max(self.floors.get(key, 0), allowed[0])
+        self.oldest_versions[key] = max(self.oldest_versions.get(key, 0), allowed[0])
 
-    def floor(self, instance, boot):
-        """The oldest version that the instance may still follow."""
-        return self.floors.get((instance, boot), 0)
+    def oldest_version(self, instance, boot):
+        """The number of the oldest version that the instance may still follow."""
+        return self.oldest_versions.get((instance, boot), 0)
 
     def process_ended(self, instance, code, was_asked, now):
         if not was_asked:
--- a/soak/oracle_test.py
+++ b/soak/oracle_test.py
@@ -94,8 +94,8 @@
         self.open(at=9)
         self.assert_nothing_seen()
 
-    def probe(self, was_forwarded, sent, floor=0):
-        self.oracle.check_probe("instance-1", 1, OTHER, was_forwarded, sent, floor, sent + 0.01)
+    def probe(self, was_forwarded, sent, oldest=0):
+        self.oracle.check_probe("instance-1", 1, OTHER, was_forwarded, sent, oldest, sent + 0.01)
 
     def test_sees_a_configuration_that_comes_late(self):
         self.oracle.note_version(Version(2, {ROUTE: "chat", OTHER: "chat"}, 5, 5))
@@ -107,13 +107,13 @@
     def test_sees_a_configuration_that_reverts(self):
         self.oracle.note_version(Version(2, {ROUTE: "chat", OTHER: "chat"}, 5, 5))
         self.probe(True, sent=5.1)
-        self.probe(False, sent=5.5, floor=self.oracle.floor("instance-1", 1))
+        self.probe(False, sent=5.5, oldest=self.oracle.oldest_version("instance-1", 1))
         self.assert_seen("old configuration")
 
     def test_accepts_an_older_configuration_after_a_start(self):
         self.oracle.note_version(Version(2, {ROUTE: "chat", OTHER: "chat"}, 5, 5))
         self.probe(True, sent=5.1)
-        self.probe(False, sent=5.5, floor=self.oracle.floor("instance-1", 2))
+        self.probe(False, sent=5.5, oldest=self.oracle.oldest_version("instance-1", 2))
         self.assert_nothing_seen()
 
     def test_sees_a_process_that_ends_by_itself_or_badly(self):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -1,7 +1,7 @@
 """Runs real forwarders against the stand-in of the users' platform under random
 faults, and checks the promises from what clients and upstreams see.
 
-Usage: soak.py PROGRAM --seed N --minutes M [--instances N] [--sabotage KIND]"""
+Usage: soak.py PROGRAM --seed N --minutes M [--instances N] [--defect KIND]"""
 
 import argparse
 import os
@@ -13,7 +13,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 sys.path[:0] = [str(ROOT / "standins"), str(ROOT / "soak")]
-from fault_proxy import FaultProxy  # noqa: E402
+from fault_proxy import FaultProxy, Mode  # noqa: E402
 from faults import Changes, Faults  # noqa: E402
 from flow_platform import Store, Upstream, upstream_key, wait_until  # noqa: E402
 from forwarder_process import Instance, free_port  # noqa: E402
@@ -28,14 +28,15 @@
 OPEN_PERIOD_S, PROBE_PERIOD_S, FAULT_PERIOD_S = 0.04, 0.3, 0.7
 RECOVERY_S = 5
 RECOVERY_FLOWS = 10
-SABOTAGES = ("misdeliver", "excuses", "forgotten-route", "dead-instance")
+# Ways to break a run on purpose; each has to be seen.
+DEFECTS = ("wrong-address", "untold-faults", "untold-route", "no-restart")
 
 
 class System:
     """All processes and stand-ins of one run."""
 
-    def __init__(self, program, folder, instances, seed, sabotage):
-        self.sabotage = sabotage
+    def __init__(self, program, folder, instances, seed, defect):
+        self.defect = defect
         self.oracle, self.store = Oracle(), Store()
         self.changes = Changes(self.store, self.oracle, Version)
         port = free_port()
@@ -45,7 +46,7 @@
         for number in range(CHAT_UPSTREAMS + PHOTO_UPSTREAMS):
             service = "chat" if number < CHAT_UPSTREAMS else "photos"
             self.add_upstream(number + 1, service, port)
-        if sabotage == "misdeliver":
+        if defect == "wrong-address":
             # An address of the other service under an id of this one.
             self.upstreams[0].address = self.upstreams[-1].address
         for each in self.upstreams:
@@ -76,7 +77,7 @@
 
     def start(self, instance):
         instance.boot += 1
-        if self.sabotage != "dead-instance":
+        if self.defect != "no-restart":
             instance.start()
 
     def take_packet(self, upstream, named, packet, source):
@@ -126,10 +127,6 @@
     def __init__(self, system, seed):
         self.system, self.random = system, random.Random(seed)
         self.faults = Faults(system, self.random)
-        if system.sabotage == "excuses":
-            # Faults are played, but the oracle is not told of them.
-            system.oracle.disturbances.begin = lambda name: None
-            system.oracle.disturbances.end = lambda name, now: None
 
     def every(self, period, action):
         def again():
@@ -156,8 +153,10 @@
         clients.run(2)
         end = time.monotonic() + seconds
         next_fault = time.monotonic()
-        if self.system.sabotage == "forgotten-route":
-            clients.after(2, self.forget_route)
+        if self.system.defect == "untold-route":
+            clients.after(2, self.remove_route_untold)
+        if self.system.defect == "untold-faults":
+            clients.after(2, self.cut_store_untold)
         while time.monotonic() < end:
             clients.run(0.02)
             if time.monotonic() >= next_fault:
@@ -167,7 +166,13 @@
             self.system.watch_processes(self.faults)
         self.recover(clients)
 
-    def forget_route(self):
+    def cut_store_untold(self):
+        """Cuts all instances off from the store, and tells the oracle nothing."""
+        for each in self.system.instances:
+            each.proxy.set(Mode.SILENT)
+        self.system.toggle_route(PROBES[0])
+
+    def remove_route_untold(self):
         """Takes a route away behind the oracle's back."""
         self.system.routes.pop(CHAT)
         self.system.changes.accept(self.system.routes)
@@ -194,7 +199,7 @@
     parser.add_argument("--minutes", type=float, default=1)
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs, kept after a failure")
-    parser.add_argument("--sabotage", choices=SABOTAGES, help="a fault that has to be seen")
+    parser.add_argument("--defect", choices=DEFECTS, help="breaks the run on purpose")
     return parser.parse_args()
 
 
@@ -203,7 +208,7 @@
     with tempfile.TemporaryDirectory() as temporary:
         folder = given.keep or pathlib.Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        system = System(given.program, folder, given.instances, given.seed, given.sabotage)
+        system = System(given.program, folder, given.instances, given.seed, given.defect)
         soak = Soak(system, given.seed)
         try:
             soak.run(given.minutes * 60)
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -61,9 +61,10 @@
 class Probe(Flow):
     """An opening packet to one instance, for a route that comes and goes."""
 
-    def __init__(self, port, route, instance, boot, floor, sent):
+    def __init__(self, port, route, instance, boot, oldest_version, sent):
         super().__init__(port, route, 0)
-        self.instance, self.boot, self.floor, self.sent = instance, boot, floor, sent
+        self.instance, self.boot, self.sent = instance, boot, sent
+        self.oldest_version = oldest_version
 
 
 class Clients:
@@ -130,7 +131,7 @@
     def probe(self, route, instance, boot):
         now = time.monotonic()
         flow = Probe(next(self.ports), route, instance, boot,
-                     self.oracle.floor(instance.name, boot), now)
+                     self.oracle.oldest_version(instance.name, boot), now)
         self.flows[flow.port] = flow
         self.send(self.packet(flow, OPEN), instance)
 
@@ -216,7 +217,7 @@
             if is_own and flow.state == "opening":
                 flow.state = "refused"
                 self.oracle.check_probe(flow.instance.name, flow.boot, flow.route, False,
-                                        flow.sent, flow.floor, now)
+                                        flow.sent, flow.oldest_version, now)
             return
         if is_own:
             self.take_arrivals()
@@ -235,4 +236,4 @@
         if isinstance(flow, Probe) and flow.state == "opening" and packet.opens:
             flow.state = "forwarded"
             self.oracle.check_probe(flow.instance.name, flow.boot, flow.route, True, flow.sent,
-                                    flow.floor, now)
+                                    flow.oldest_version, now)
--- a/src/command_status.cpp
+++ b/src/command_status.cpp
@@ -14,9 +14,11 @@
 int runStatus(Arguments Given) {
   const std::string Program = Given.front();
   TCLAP::CmdLine Line("Shows the state of a running instance.", ' ', Version);
-  const TCLAP::ValueArg<std::string> Admin("a", "admin",
-                                           "The admin address of the instance.",
-                                           true, "", "ADDRESS:PORT", Line);
+  const TCLAP::ValueArg<std::string> Admin(
+      "a", "admin",
+      "The admin address of the instance, or the "
+      "metrics address of a forwarder.",
+      true, "", "ADDRESS:PORT", Line);
   TCLAP::SwitchArg AsJson("j", "json", "Print the report as JSON.", Line);
   if (const auto Code = parseArguments(Line, Given))
     return *Code;
--- a/src/status_text.cpp
+++ b/src/status_text.cpp
@@ -102,12 +102,33 @@
   writeServices(Report.at("services"), Out);
 }
 
+// The report of a forwarder holds plain values and the counts of upstreams.
+void writeForwarder(const Json &Report, std::ostream &Out) {
+  for (const auto &[Key, Value] : Report.items()) {
+    Out << Key << ":";
+    if (Value.is_object())
+      writePairs(Value, Out);
+    else
+      Out << " "
+          << (Value.is_string() ? Value.get<std::string>() : Value.dump())
+          << "\n";
+  }
+}
+
+bool isForwarder(const Json &Report) {
+  return Report.is_object() && Report.contains("storeAgeMs");
+}
+
 } // namespace
 
 std::string statusText(const std::string &Report) {
   std::ostringstream Out;
   try {
-    writeReport(Json::parse(Report), Out);
+    const Json Content = Json::parse(Report);
+    if (isForwarder(Content))
+      writeForwarder(Content, Out);
+    else
+      writeReport(Content, Out);
   } catch (const Json::exception &) {
     return {};
   }
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -6,6 +6,7 @@
 #include "loop_test_support.h"
 #include "platform/packet_codec.h"
 #include "platform/protocol.h"
+#include "status_report.h"
 #include "udp_endpoint.h"
 
 namespace indigopoint::platform {
@@ -153,6 +154,7 @@
     EXPECT_NE(Metrics.Body.find(Line), std::string::npos) << Line;
   const HttpResult Status = get(Settings.MetricsAddress, "/status");
   EXPECT_NE(Status.Body.find("\"configuration\": 1"), std::string::npos);
+  EXPECT_NE(statusText(Status.Body).find("ready: true\n"), std::string::npos);
   EXPECT_EQ(get(Settings.MetricsAddress, "/else").Status, 404);
 }
 
