--- a/tests/request_lifecycle_test.cpp
+++ b/tests/request_lifecycle_test.cpp
@@ -102,7 +102,8 @@
 }
 
 // Guards against a request that runs again after its record expired (P5). Found
-// by seed 5504 of the stateful properties: a repeat 31.5 s after the first copy.
+// by seed 5504 of the stateful properties: a repeat 31.5 s after the first
+// copy.
 TEST_F(RequestLifecycleTest, RetransmissionOlderThanAnyRecordDoesNotRun) {
   recordsCompleteFor(100 * Second);
   Request Work = request(1);
