Close HTTP connections that carry nothing

Cause: the HTTP server had no timeout.

Change: an idle connection is closed after a minute, and after 10 s at the metrics address. Http.AConnectionThatCarriesNothingIsClosed guards it.

--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -30,6 +30,9 @@
 // long. Clients repeat after 200 ms, and most give up after 500 ms.
 constexpr Duration HoldTime = std::chrono::milliseconds(400);
 
+// A scraper that sends or reads nothing for this long is cut off.
+constexpr Duration ReportIdleTimeout = std::chrono::seconds(10);
+
 } // namespace
 
 struct Forwarder::State {
@@ -100,7 +103,8 @@
                }),
       Checks(Loop, [this](UpstreamId Id,
                           bool IsAccepting) { onCheck(Id, IsAccepting); }),
-      Data(this->Protocol.MaxPacketBytes), Ready(Loop), Report(Loop) {}
+      Data(this->Protocol.MaxPacketBytes), Ready(Loop),
+      Report(Loop, ReportIdleTimeout) {}
 
 std::string Forwarder::State::start() {
   Time.refresh();
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -110,9 +110,13 @@
     Handler Handle;
   };
 
-  explicit State(EventLoop &Loop) : Http(evhttp_new(Loop.base())) {
+  State(EventLoop &Loop, Duration IdleTimeout) : Http(evhttp_new(Loop.base())) {
     if (Http == nullptr)
       throw std::bad_alloc();
+    const auto Seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(IdleTimeout);
+    const timeval Idle{Seconds.count(), (IdleTimeout - Seconds).count()};
+    evhttp_set_timeout_tv(Http, &Idle);
     evhttp_set_max_body_size(Http, MaxBodyBytes);
     evhttp_set_max_headers_size(Http, MaxHeaderBytes);
     evhttp_set_gencb(Http, onRequest, this);
@@ -158,7 +162,8 @@
   });
 }
 
-HttpServer::HttpServer(EventLoop &Loop) : S(std::make_unique<State>(Loop)) {}
+HttpServer::HttpServer(EventLoop &Loop, Duration IdleTimeout)
+    : S(std::make_unique<State>(Loop, IdleTimeout)) {}
 HttpServer::~HttpServer() = default;
 
 std::error_code HttpServer::open(Endpoint Address) {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -34,7 +34,10 @@
   using Respond = std::function<void(const HttpResponse &)>;
   using Handler = std::function<void(const HttpRequest &, Respond)>;
 
-  explicit HttpServer(EventLoop &Loop);
+  /// A connection that carries nothing for \p IdleTimeout is closed, also in
+  /// the middle of a request or an answer. Answers that wait longer are lost.
+  explicit HttpServer(EventLoop &Loop,
+                      Duration IdleTimeout = std::chrono::minutes(1));
   ~HttpServer();
 
   /// Listens on \p Address; port 0 lets the system choose.
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -4,8 +4,11 @@
 #include <optional>
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "loop_test_support.h"
+#include "socket_address.h"
 
 namespace indigopoint {
 namespace {
@@ -57,6 +60,25 @@
   EXPECT_EQ(call("GET", "/status/x").Status, 404);
 }
 
+// Guards against scrapers that stop in the middle of a request and keep their
+// connection for ever.
+TEST_F(Http, AConnectionThatCarriesNothingIsClosed) {
+  HttpServer Impatient(Loop, std::chrono::milliseconds(200));
+  ASSERT_FALSE(Impatient.open(AnyPort));
+  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  const sockaddr_in To = toSocketAddress(Impatient.address());
+  ASSERT_EQ(
+      connect(Socket, reinterpret_cast<const sockaddr *>(&To), sizeof(To)), 0);
+  const std::string Half = "GET /status HTTP/1.1\r\nHo";
+  ASSERT_EQ(write(Socket, Half.data(), Half.size()),
+            static_cast<ssize_t>(Half.size()));
+  char Byte = 0;
+  EXPECT_TRUE(runUntil(Loop, [&] {
+    return recv(Socket, &Byte, 1, MSG_DONTWAIT | MSG_PEEK) == 0;
+  }));
+  close(Socket);
+}
+
 TEST_F(Http, AnAnswerMayComeLater) {
   LoopEvent Timer;
   Server.route("GET", "/slow",
