--- a/scripts/forward_flood.py
+++ b/scripts/forward_flood.py
@@ -18,7 +18,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "standins"))
 from flow_platform import (CONFIGURATION_KEY, OPEN, Packet, Store,  # noqa: E402
-                           Upstream, configuration, upstream_key, wait_until)
+                           Upstream, configuration, datagram_socket, upstream_key,
+                           wait_until)
 from forwarder_process import Instance, free_port  # noqa: E402
 
 SERVICE = ("198.18.0.1", 443)
@@ -31,21 +32,12 @@
 KINDS_OF_LINES = 3
 
 
-class Sink:
-    """Counts what reaches the upstreams' common address."""
-
-    def __init__(self, address):
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.bind(address)
-        self.socket.settimeout(ANSWER_LIMIT_S)
-
-
 class Variant:
     """One instance with its way of handling the log."""
 
     def __init__(self, name, program, folder, number, port, store, lines, is_blocked=False,
                  is_scraped=False):
-        self.name, self.is_scraped, self.lines = name, is_scraped, lines
+        self.name, self.is_scraped = name, is_scraped
         self.metrics = "127.0.4.%d:%d" % (number, free_port())
         self.instance = Instance(program, folder, "instance-%d" % number, "127.0.4.%d" % number,
                                  port, store, is_blocked=is_blocked, logLinesPerSecond=lines,
@@ -70,14 +62,16 @@
 
 class Flood:
     def __init__(self, program, folder):
-        self.port, self.store = free_port(), Store()
-        self.sink = Sink(("127.0.4.100", self.port))
+        port, self.store = free_port(), Store()
+        # What instances forward arrives here.
+        self.sink = datagram_socket(("127.0.4.100", port))
+        self.sink.settimeout(ANSWER_LIMIT_S)
         self.sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        registration = Upstream.describe("127.0.4.100:%d" % self.port, "chat")
+        registration = Upstream.describe("127.0.4.100:%d" % port, "chat")
         self.store.put(upstream_key(1), registration)
         self.store.put(CONFIGURATION_KEY, configuration(1, {SERVICE: "chat"}))
         make = lambda name, number, lines, **given: Variant(
-            name, program, folder, number, self.port, self.store.address, lines, **given)
+            name, program, folder, number, port, self.store.address, lines, **given)
         self.variants = [make("no log", 1, 0), make("log", 2, LINES_PER_SECOND),
                          make("log, output blocked", 3, LINES_PER_SECOND, is_blocked=True),
                          make("log, metrics read", 4, LINES_PER_SECOND, is_scraped=True)]
@@ -98,7 +92,7 @@
             for each in batch:
                 self.sender.sendto(each, variant.instance.data)
             for _ in batch:
-                self.sink.socket.recv(2048)  # Times out if a packet was lost.
+                self.sink.recv(2048)  # Times out if a packet was lost.
             variant.slowest = max(variant.slowest, time.monotonic() - start)
         variant.costs.append((variant.cpu_s() - before) / (packets // WINDOW * WINDOW) * 1e6)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,12 +2,13 @@
 Each action tells the oracle what it disturbs, and undoes itself after a while."""
 
 import json
+import math
 import signal
-import threading
 import time
 
 from fault_proxy import Mode
 from flow_platform import CONFIGURATION_KEY, configuration
+from oracle import Version
 
 PAUSE_S = (0.05, 4)
 DOWN_S = (0.1, 3)
@@ -103,7 +104,7 @@
             return False
         instance.process.send_signal(signal.SIGTERM)
         self.oracle.disturbances.begin(instance.name)
-        # Signals come in series; another SIGTERM changes nothing.
+        # Signals come in series; a reload does not stop the stop.
         if self.random.random() < 0.3:
             self.later(0.1, lambda: instance.process.poll() is None
                        and instance.process.send_signal(signal.SIGHUP))
@@ -273,14 +274,12 @@
 class Changes:
     """Writes configurations to the store, one at a time, as an operator does."""
 
-    def __init__(self, store, oracle, version_type):
-        self.store, self.oracle, self.version_type = store, oracle, version_type
-        self.number, self.lock = 0, threading.Lock()
+    def __init__(self, store, oracle):
+        self.store, self.oracle, self.number = store, oracle, 0
 
     def accept(self, routes):
-        with self.lock:
-            self.number += 1
-            version = self.version_type(self.number, dict(routes), time.monotonic(), float("inf"))
-            self.oracle.note_version(version)
-            self.store.put(CONFIGURATION_KEY, configuration(self.number, routes))
-            version.acknowledged = time.monotonic()
+        self.number += 1
+        version = Version(self.number, dict(routes), time.monotonic(), math.inf)
+        self.oracle.note_version(version)
+        self.store.put(CONFIGURATION_KEY, configuration(self.number, routes))
+        version.acknowledged = time.monotonic()
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -17,7 +17,7 @@
 from faults import Changes, Faults  # noqa: E402
 from flow_platform import Store, Upstream, upstream_key, wait_until  # noqa: E402
 from forwarder_process import Instance, free_port  # noqa: E402
-from oracle import Oracle, Version  # noqa: E402
+from oracle import Oracle  # noqa: E402
 from traffic import Clients, Fabric  # noqa: E402
 
 CHAT, PHOTOS = ("198.18.0.1", 443), ("198.18.0.1", 8443)
@@ -38,7 +38,7 @@
     def __init__(self, program, folder, instances, seed, defect):
         self.defect = defect
         self.oracle, self.store = Oracle(), Store()
-        self.changes = Changes(self.store, self.oracle, Version)
+        self.changes = Changes(self.store, self.oracle)
         port = free_port()
         self.routes = {CHAT: "chat", PHOTOS: "photos", PROBES[0]: "chat"}
         self.probe_routes = PROBES
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -6,12 +6,11 @@
 import itertools
 import random
 import select
-import socket
 import threading
 import time
 import zlib
 
-from flow_platform import ACKNOWLEDGE, FINISH, OPEN, Packet
+from flow_platform import ACKNOWLEDGE, FINISH, OPEN, Packet, datagram_socket
 
 LOSS, DUPLICATION, DELAY = 0.01, 0.01, 0.05
 MOST_DELAY_S = 0.03
@@ -51,8 +50,10 @@
 class Flow:
     """A client's end of one flow."""
 
-    def __init__(self, port, route, packets):
+    def __init__(self, port, route, packets, instance=None):
         self.port, self.route, self.left = port, route, packets
+        # Where all its packets go; None lets the fabric choose.
+        self.instance = instance
         self.state, self.copies, self.tag = "opening", 0, 0
         self.sequence = self.acknowledged = 0
         self.waiting, self.retransmits = None, 0
@@ -62,8 +63,8 @@
     """An opening packet to one instance, for a route that comes and goes."""
 
     def __init__(self, port, route, instance, boot, oldest_version, sent):
-        super().__init__(port, route, 0)
-        self.instance, self.boot, self.sent = instance, boot, sent
+        super().__init__(port, route, 0, instance)
+        self.boot, self.sent = boot, sent
         self.oldest_version = oldest_version
 
 
@@ -71,8 +72,7 @@
     def __init__(self, address, port, fabric, oracle, seed):
         self.address, self.fabric, self.oracle = address, fabric, oracle
         self.random = random.Random(seed)
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.bind((address, port))
+        self.socket = datagram_socket((address, port))
         self.ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
         self.flows, self.sent_at = {}, {}
         # Datagrams and timers that are due, by time.
@@ -118,8 +118,7 @@
                       flow.acknowledged, flow.tag, data)
 
     def open(self, route, packets, instance=None):
-        flow = Flow(next(self.ports), route, packets)
-        flow.instance = instance
+        flow = Flow(next(self.ports), route, packets, instance)
         self.flows[flow.port] = flow
         self.opened += 1
         self.send(self.packet(flow, OPEN), instance)
--- a/src/event_loop.cpp
+++ b/src/event_loop.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <event2/event.h>
+#include <sys/time.h>
 
 namespace indigopoint {
 
@@ -50,6 +51,10 @@
 LoopEvent::LoopEvent(LoopEvent &&) noexcept = default;
 LoopEvent &LoopEvent::operator=(LoopEvent &&) noexcept = default;
 
+timeval toTimeval(Duration Given) {
+  return {Given.count() / 1'000'000, Given.count() % 1'000'000};
+}
+
 LoopEvent::LoopEvent(EventLoop &Loop, int Descriptor, short What,
                      const Duration *Time, Hook Action)
     : S(std::make_unique<State>()) {
@@ -57,11 +62,7 @@
   S->Handle = event_new(Loop.base(), Descriptor, What, State::call, S.get());
   if (S->Handle == nullptr)
     throw std::bad_alloc();
-  timeval Interval{};
-  if (Time != nullptr) {
-    Interval.tv_sec = Time->count() / 1'000'000;
-    Interval.tv_usec = Time->count() % 1'000'000;
-  }
+  const timeval Interval = toTimeval(Time == nullptr ? Duration() : *Time);
   event_add(S->Handle, Time == nullptr ? nullptr : &Interval);
 }
 
--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -7,6 +7,7 @@
 
 struct event;
 struct event_base;
+struct timeval;
 
 namespace indigopoint {
 
@@ -28,6 +29,9 @@
   event_base *Base;
 };
 
+/// As libevent takes it.
+timeval toTimeval(Duration Given);
+
 /// Calls a hook when a time has passed, a signal arrived or a socket became
 /// readable. Ends with the object.
 class LoopEvent {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -113,9 +113,7 @@
   State(EventLoop &Loop, Duration IdleTimeout) : Http(evhttp_new(Loop.base())) {
     if (Http == nullptr)
       throw std::bad_alloc();
-    const auto Seconds =
-        std::chrono::duration_cast<std::chrono::seconds>(IdleTimeout);
-    const timeval Idle{Seconds.count(), (IdleTimeout - Seconds).count()};
+    const timeval Idle = toTimeval(IdleTimeout);
     evhttp_set_timeout_tv(Http, &Idle);
     evhttp_set_max_body_size(Http, MaxBodyBytes);
     evhttp_set_max_headers_size(Http, MaxHeaderBytes);
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "blackboard.h"
+#include "random_source.h"
 
 namespace indigopoint {
 
@@ -44,10 +45,6 @@
   return Best;
 }
 
-double fractionOf(uint64_t Hash) {
-  return static_cast<double>(Hash >> 11) * 0x1.0p-53;
-}
-
 struct TopTwo {
   InstanceId First;
   InstanceId Second;
--- a/src/random_source.h
+++ b/src/random_source.h
@@ -11,6 +11,11 @@
   return (uint64_t{Device()} << 32) | Device();
 }
 
+/// A fraction in [0, 1) from 64 evenly spread bits, such as a hash.
+inline double fractionOf(uint64_t Bits) {
+  return static_cast<double>(Bits >> 11) * 0x1.0p-53;
+}
+
 /// The random numbers of one decision engine. Equal seeds give equal runs.
 class RandomSource {
 public:
@@ -23,7 +28,7 @@
   uint64_t below(uint64_t Bound) { return Bound == 0 ? 0 : Engine() % Bound; }
 
   /// A fraction in [0, 1).
-  double fraction() { return static_cast<double>(Engine() >> 11) * 0x1.0p-53; }
+  double fraction() { return fractionOf(Engine()); }
 
 private:
   std::mt19937_64 Engine;
--- a/src/upstream_choice.cpp
+++ b/src/upstream_choice.cpp
@@ -3,6 +3,7 @@
 #include <tuple>
 
 #include "placement.h"
+#include "random_source.h"
 #include "zone_capacity.h"
 
 namespace indigopoint {
@@ -19,11 +20,6 @@
   return Given.Registration.Slots * (Given.WarmUntil > Now ? StartingShare : 1);
 }
 
-// A number in [0, 1) that is the same for all copies of a flow.
-double fractionOf(uint64_t Hash) {
-  return static_cast<double>(Hash >> 11) * 0x1.0p-53;
-}
-
 class ZoneFirst {
 public:
   explicit ZoneFirst(std::string Zone) : Zone(std::move(Zone)) {}
@@ -32,41 +28,42 @@
                    const FlowToPlace &Given, TimePoint Now);
 
 private:
-  bool leavesZone(const std::vector<Upstream *> &Usable,
-                  const FlowToPlace &Given, TimePoint Now);
+  bool leavesZone(const std::vector<Upstream *> &Usable, uint64_t Hash,
+                  TimePoint Now);
 
   std::string Zone;
   ZoneCapacity Capacity;
 };
 
 // The upstreams that are left would get the flows of those that were lost.
-bool ZoneFirst::leavesZone(const std::vector<Upstream *> &Usable,
-                           const FlowToPlace &Given, TimePoint Now) {
+// All copies of a flow have the same hash.
+bool ZoneFirst::leavesZone(const std::vector<Upstream *> &Usable, uint64_t Hash,
+                           TimePoint Now) {
   double Here = 0;
   for (const Upstream *Each : Usable)
     if (Each->Registration.Zone == Zone && !Each->Reach.isSuspect(Now))
       Here += slotsOf(*Each, Now);
   const double Missing =
       Capacity.missingShare(Usable.front()->Registration.Service, Here, Now);
-  return Missing >= LeastLossToSpill &&
-         fractionOf(hashOf(Given.Flow)) < Missing;
+  return Missing >= LeastLossToSpill && fractionOf(Hash) < Missing;
 }
 
 Upstream *ZoneFirst::choose(const std::vector<Upstream *> &Usable,
                             const FlowToPlace &Given, TimePoint Now) {
   if (Usable.empty())
     return nullptr;
-  const bool Leaves = leavesZone(Usable, Given, Now);
+  const uint64_t Hash = hashOf(Given.Flow);
+  const bool Leaves = leavesZone(Usable, Hash, Now);
   Upstream *Best = nullptr;
   std::tuple<bool, bool, bool, double, uint64_t> BestScore;
   for (Upstream *Each : Usable) {
     const UpstreamRegistration &Said = Each->Registration;
     // The hash lets instances that know equally little of the load choose
     // differently for different flows.
-    const std::tuple Score(
-        Said.Id == Given.Avoided, Each->Reach.isSuspect(Now),
-        (Said.Zone == Zone) == Leaves, flowsPerSlot(*Each, Now),
-        rendezvousScore(hashOf(Given.Flow), Said.Id.value()));
+    const std::tuple Score(Said.Id == Given.Avoided, Each->Reach.isSuspect(Now),
+                           (Said.Zone == Zone) == Leaves,
+                           flowsPerSlot(*Each, Now),
+                           rendezvousScore(Hash, Said.Id.value()));
     if (Best == nullptr || Score < BestScore) {
       Best = Each;
       BestScore = Score;
--- a/standins/flow_platform.py
+++ b/standins/flow_platform.py
@@ -21,6 +21,13 @@
     return "servers/i-%x" % identity
 
 
+def datagram_socket(address):
+    """A UDP socket that is bound to an address and port."""
+    made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    made.bind(address)
+    return made
+
+
 def number_of(address):
     return struct.unpack(">I", socket.inet_aton(address))[0]
 
@@ -179,8 +186,7 @@
 
     def start(self):
         self.flows.clear()
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.bind(self.endpoint)
+        self.socket = datagram_socket(self.endpoint)
         self.listener = socket.create_server(self.endpoint)
         threading.Thread(target=self.serve, args=(self.socket,), daemon=True).start()
 
@@ -260,8 +266,7 @@
     """Sends packets of flows to instances, as the routers would."""
 
     def __init__(self, address, port):
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.bind((address, port))
+        self.socket = datagram_socket((address, port))
         self.socket.settimeout(2)
         self.address, self.next_port = address, 40000
         # What the next data packet of each flow acknowledges.
--- a/tests/flow_steering_test.cpp
+++ b/tests/flow_steering_test.cpp
@@ -340,12 +340,7 @@
 
 // A verdict must not outlive the upstream's return.
 TEST_F(FlowSteeringTest, AVerdictHoldsForAWhileOnly) {
-  const uint64_t Dead = open(1);
-  open(2);
-  Time.advance(300ms);
-  Steering.steer(data(1, Dead, 500));
-  Steering.steer(data(1, Dead, 500));
-  Steering.noteCheck(UpstreamId(Dead), false);
+  const uint64_t Dead = openAtDeadUpstream();
   ASSERT_EQ(Steering.steer(data(1, Dead, 500)).Action, SteeringAction::Reset);
   Time.advance(2s);
   EXPECT_EQ(Steering.steer(data(1, Dead, 500)).Action, SteeringAction::Forward);
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -89,6 +89,18 @@
     return Id;
   }
 
+  // Opens a flow whose client then repeats in vain, while a check of its
+  // upstream fails. Returns the upstream.
+  uint64_t openAtDeadUpstream() {
+    const uint64_t Dead = open(1);
+    open(2);
+    Time.advance(std::chrono::milliseconds(300));
+    Steering.steer(data(1, Dead, 500));
+    Steering.steer(data(1, Dead, 500));
+    Steering.noteCheck(UpstreamId(Dead), false);
+    return Dead;
+  }
+
   ManualClock Time;
   RouteTable Routes;
   UpstreamRegistry Upstreams;
--- a/tests/steering_log_test.cpp
+++ b/tests/steering_log_test.cpp
@@ -36,13 +36,7 @@
   }
 
   SteeringDecision playDead() {
-    const uint64_t Dead = open(1);
-    open(2);
-    Time.advance(300ms);
-    Steering.steer(data(1, Dead, 500));
-    Steering.steer(data(1, Dead, 500));
-    Steering.noteCheck(UpstreamId(Dead), false);
-    return steer(data(1, Dead, 500));
+    return steer(data(1, openAtDeadUpstream(), 500));
   }
 
   SteeringDecision playGone() {
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -54,6 +54,16 @@
     return Query.value_or(StoreQuery());
   }
 
+  // The call to the store fails, and a peer tells all that it holds.
+  std::optional<StoreSync::Update> failAndAskPeer() {
+    Sync.onResult(failed(StoreResult::Status::Failed));
+    Time.advance(Sync.wakeAt() - Time.now());
+    EXPECT_TRUE(next({Endpoint{1, 1}, 0s}));
+    StoreResult Told = answered(12, {item("a", 12)});
+    Told.Complete = true;
+    return Sync.onResult(Told);
+  }
+
   ManualClock Time;
   RandomSource Random{1};
   StoreSync Sync{Time, Random};
@@ -178,12 +188,7 @@
 // configuration until the cut was over.
 TEST_F(StoreSyncTest, AStartWithoutTheStoreLearnsFromAPeer) {
   nextCall();
-  Sync.onResult(failed(StoreResult::Status::Failed));
-  Time.advance(Sync.wakeAt() - Time.now());
-  ASSERT_TRUE(next({Endpoint{1, 1}, 0s}));
-  StoreResult Told = answered(12, {item("a", 12)});
-  Told.Complete = true;
-  const auto Update = Sync.onResult(Told);
+  const auto Update = failAndAskPeer();
   ASSERT_TRUE(Update);
   EXPECT_EQ(Update->What, Content::Snapshot);
   EXPECT_TRUE(Sync.isSynced());
@@ -197,12 +202,7 @@
   First.MorePages = true;
   Sync.onResult(First);
   nextCall();
-  Sync.onResult(failed(StoreResult::Status::Failed));
-  Time.advance(Sync.wakeAt() - Time.now());
-  ASSERT_TRUE(next({Endpoint{1, 1}, 0s}));
-  StoreResult Told = answered(12, {item("a", 12)});
-  Told.Complete = true;
-  const auto Update = Sync.onResult(Told);
+  const auto Update = failAndAskPeer();
   ASSERT_TRUE(Update);
   EXPECT_EQ(Update->What, Content::Snapshot);
   EXPECT_EQ(Update->Items.size(), 1U);
