--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -96,6 +96,10 @@
     return;
   }
   evhttp_connection_set_max_body_size(Call.Connection, MaxBodyBytes);
+  if (Parameters.IdleTimeout > Duration()) {
+    const timeval IdleTimeout = toTimeval(Parameters.IdleTimeout);
+    evhttp_connection_set_timeout_tv(Call.Connection, &IdleTimeout);
+  }
   evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
   evhttp_add_header(Headers, "Host", HostAndPort.c_str());
   evhttp_add_header(Headers, "Connection", "close");
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -21,6 +21,9 @@
   std::string Body;
   /// Covers the whole call, including connecting.
   Duration Timeout = std::chrono::seconds(2);
+  /// The call also fails when no byte was transferred for this time. 0 means
+  /// that only \c Timeout applies.
+  Duration IdleTimeout{};
 };
 
 struct HttpResult {
--- a/src/peer_exchange.cpp
+++ b/src/peer_exchange.cpp
@@ -98,11 +98,12 @@
 }
 
 void PeerExchange::ask(Endpoint Peer, uint64_t AfterRevision, Duration Wait,
-                       Duration Timeout, AnswerHook OnAnswer) {
+                       Timeouts Limits, AnswerHook OnAnswer) {
   HttpCall Call;
   Call.To = Peer;
   Call.Target = encodePeerRequest({AfterRevision, Wait, Self});
-  Call.Timeout = Timeout;
+  Call.IdleTimeout = Limits.Idle;
+  Call.Timeout = Limits.Total;
   Http.call(Call, [this, Peer,
                    OnAnswer = std::move(OnAnswer)](const HttpResult &Result) {
     onAnswer(Peer, Result, OnAnswer);
--- a/src/peer_exchange.h
+++ b/src/peer_exchange.h
@@ -28,10 +28,16 @@
   /// Listens for requests of peers. Does nothing if the own address has port 0.
   std::error_code open();
 
+  /// The timeouts of a request; see HttpCall.
+  struct Timeouts {
+    Duration Total{};
+    Duration Idle{};
+  };
+
   /// Sends a request to \p Peer. The hook gets a failed result if there is no
   /// answer.
   void ask(Endpoint Peer, uint64_t AfterRevision, Duration Wait,
-           Duration Timeout, AnswerHook OnAnswer);
+           Timeouts Limits, AnswerHook OnAnswer);
 
   /// Answers all pending requests. Called when an answer confirms the data at a
   /// later time than before (see StoreSync::confirmedAt).
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -82,7 +82,8 @@
   }
   const uint64_t AfterRevision =
       Query.QueryKind == StoreQuery::Kind::Watch ? Query.AfterRevision : 0;
-  Exchange.ask(*Query.Peer, AfterRevision, Query.Wait, Query.Timeout,
+  Exchange.ask(*Query.Peer, AfterRevision, Query.Wait,
+               {Query.Timeout, Query.IdleTimeout},
                [this, Query](StoreResult Result) {
                  onResult(Query, std::move(Result));
                });
@@ -91,6 +92,7 @@
 void StoreFollower::Impl::askStore(const StoreQuery &Query) {
   HttpCall Call = Protocol.EncodeQuery(Query);
   Call.To = Store;
+  Call.IdleTimeout = Query.IdleTimeout;
   Call.Timeout = Query.Timeout;
   Http.call(Call, [this, Query](const HttpResult &Answer) {
     onResult(Query, Protocol.DecodeResult(Query, Answer));
@@ -151,7 +153,7 @@
 void StoreFollower::Impl::contactPeer() {
   TimeSource.refresh();
   if (const auto Peer = Peers.nextContact())
-    Exchange.ask(*Peer, Sync.revision(), Duration(), ContactTimeout,
+    Exchange.ask(*Peer, Sync.revision(), Duration(), {ContactTimeout},
                  [](const StoreResult &) {});
   // Makes a due call whose timer did not fire.
   startCallIfDue();
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -18,6 +18,13 @@
 // the call.
 constexpr Duration PeerTimeout = std::chrono::milliseconds(200);
 
+// Maximum time for the transfer of a snapshot or a page of it. When all
+// instances start together, their answers share the network link of the store.
+// A call that is given up while its answer arrives transfers everything again,
+// which delays all other instances, so only a call without progress is given up
+// earlier.
+constexpr Duration SnapshotTransferTimeout = std::chrono::seconds(8);
+
 // Changes come in groups, and each call is billed. The next watch therefore
 // starts after a short delay and returns the rest of the group in one answer.
 constexpr Duration DelayAfterChange = std::chrono::milliseconds(400);
@@ -49,9 +56,9 @@
   Query.Peer = Target.Peer;
   Query.Timeout = IsPeerCall ? PeerTimeout : CallTimeout;
   if (NeedsSnapshot) {
-    if (IsPeerCall)
-      LastKey.clear();
     Query.AfterKey = LastKey;
+    Query.IdleTimeout = Query.Timeout;
+    Query.Timeout += SnapshotTransferTimeout;
     return Query;
   }
   Query.QueryKind = StoreQuery::Kind::Watch;
@@ -99,6 +106,7 @@
   if (Result.Complete) {
     NeedsSnapshot = false;
     SnapshotLoaded = true;
+    LastKey.clear();
   } else if (Result.Items.empty()) {
     return std::nullopt;
   }
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -47,6 +47,8 @@
   uint64_t AfterRevision = 0;
   /// Watch: how long the store may hold the call while nothing changes.
   Duration Wait{};
+  /// The time without progress after which the call is given up; 0 for none.
+  Duration IdleTimeout{};
   /// The timeout of the whole call.
   Duration Timeout{};
 };
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -28,6 +28,15 @@
     return Response.value_or(HttpResult());
   }
 
+  HttpResult callWithIdleTimeout(Endpoint To, Duration IdleTimeout) {
+    std::optional<HttpResult> Response;
+    HttpClient Client(Loop);
+    Client.call({To, "GET", "/", "", std::chrono::seconds(30), IdleTimeout},
+                [&](HttpResult Result) { Response = std::move(Result); });
+    EXPECT_TRUE(runUntil(Loop, [&] { return Response.has_value(); }));
+    return Response.value_or(HttpResult());
+  }
+
   EventLoop Loop;
   HttpServer Server{Loop};
 };
@@ -110,6 +119,64 @@
   PendingResponse({200, "late"});
 }
 
+// A peer that accepts connections and answers byte by byte.
+class SlowResponder {
+public:
+  SlowResponder(EventLoop &Loop, Duration Pause, std::string Response)
+      : Response(std::move(Response)) {
+    const sockaddr_in Any = toSocketAddress(AnyPort);
+    bind(Listener, reinterpret_cast<const sockaddr *>(&Any), sizeof(Any));
+    listen(Listener, 1);
+    Timer = LoopEvent::every(Loop, Pause, [this] { sendNextByte(); });
+  }
+
+  ~SlowResponder() {
+    close(Connection);
+    close(Listener);
+  }
+
+  Endpoint address() const {
+    sockaddr_in Own{};
+    socklen_t Size = sizeof(Own);
+    getsockname(Listener, reinterpret_cast<sockaddr *>(&Own), &Size);
+    return toEndpoint(Own);
+  }
+
+private:
+  void sendNextByte() {
+    if (Connection < 0)
+      Connection = accept4(Listener, nullptr, nullptr, SOCK_NONBLOCK);
+    if (Connection >= 0 && Sent < Response.size())
+      Sent += std::max<ssize_t>(
+          0, send(Connection, &Response[Sent], 1, MSG_NOSIGNAL));
+  }
+
+  std::string Response;
+  size_t Sent = 0;
+  int Listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  int Connection = -1;
+  LoopEvent Timer;
+};
+
+// Guards against giving up a large answer that arrives over a busy link.
+TEST_F(HttpTest, IdleTimeoutDoesNotEndACallWithProgress) {
+  SlowResponder Responder(Loop, std::chrono::milliseconds(10),
+                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  EXPECT_EQ(
+      callWithIdleTimeout(Responder.address(), std::chrono::milliseconds(200))
+          .Body,
+      "ok");
+}
+
+TEST_F(HttpTest, IdleTimeoutEndsACallThatStalls) {
+  SlowResponder Responder(Loop, std::chrono::milliseconds(10),
+                          "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok");
+  EXPECT_EQ(
+      callWithIdleTimeout(Responder.address(), std::chrono::milliseconds(200))
+          .Status,
+      0);
+}
+
 TEST_F(HttpTest, RefusedConnectionGivesStatusZero) {
   std::optional<HttpResult> Response;
   HttpClient Client(Loop);
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -44,7 +44,7 @@
   StoreResult ask(uint64_t After, Duration Wait) {
     StoreResult Result;
     bool HasAnswer = false;
-    Client.Exchange.ask(ServerAddress, After, Wait, 2s, [&](StoreResult Reply) {
+    Client.Exchange.ask(ServerAddress, After, Wait, {2s}, [&](StoreResult Reply) {
       Result = std::move(Reply);
       HasAnswer = true;
     });
@@ -84,7 +84,7 @@
   Server.Mirror.apply({StoreSync::Update::Content::Snapshot, {}}, 9);
   bool HasAnswer = false;
   StoreResult Result;
-  Client.Exchange.ask(ServerAddress, 9, 5s, 5s, [&](StoreResult Reply) {
+  Client.Exchange.ask(ServerAddress, 9, 5s, {5s}, [&](StoreResult Reply) {
     Result = std::move(Reply);
     HasAnswer = true;
   });
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -103,6 +103,52 @@
   EXPECT_EQ(nextCall().AfterRevision, 10U);
 }
 
+// Guards against a congestion collapse when all instances start together: a
+// page that arrives slowly must not be requested again from the beginning. A
+// call without any progress is still given up early.
+TEST_F(StoreSyncTest, SnapshotPagesMayArriveSlowlyButNotStall) {
+  for (const SyncSource &Target :
+       {SyncSource{{}, 3s}, SyncSource{Endpoint{1, 1}, 0s}}) {
+    const auto Query = startCallIfDue(Target);
+    ASSERT_TRUE(Query);
+    EXPECT_EQ(Query->QueryKind, StoreQuery::Kind::Snapshot);
+    EXPECT_GT(Query->IdleTimeout, 0s);
+    EXPECT_LE(Query->IdleTimeout, 1s);
+    EXPECT_GE(Query->Timeout, 5s);
+    Sync.onResult(makeFailure(StoreResult::Status::Failed));
+    TimeSource.advance(1s);
+  }
+}
+
+// Guards against reading the pages of a large snapshot again after each failed
+// call: between two attempts, peers are asked as well.
+TEST_F(StoreSyncTest, FailedCallsDoNotDiscardPages) {
+  ASSERT_TRUE(startCallIfDue());
+  StoreResult FirstPage = makeAnswer(10, {item("a", 5)});
+  FirstPage.MorePages = true;
+  ASSERT_TRUE(Sync.onResult(FirstPage));
+  nextCall();
+  Sync.onResult(makeFailure(StoreResult::Status::Failed));
+  TimeSource.advance(1s);
+  ASSERT_TRUE(startCallIfDue({Endpoint{1, 1}, 0s}));
+  Sync.onResult(makeFailure(StoreResult::Status::Failed));
+  EXPECT_EQ(nextCall().AfterKey, "a");
+}
+
+// Guards against a later snapshot that starts in the middle of the keys: pages
+// are obsolete once a peer has sent all items.
+TEST_F(StoreSyncTest, PeerSnapshotReplacesPages) {
+  ASSERT_TRUE(startCallIfDue());
+  StoreResult FirstPage = makeAnswer(10, {item("a", 5)});
+  FirstPage.MorePages = true;
+  ASSERT_TRUE(Sync.onResult(FirstPage));
+  nextCall();
+  ASSERT_TRUE(failAndAskPeer());
+  nextCall();
+  EXPECT_FALSE(Sync.onResult(makeFailure(StoreResult::Status::HistoryLost)));
+  EXPECT_EQ(nextCall().AfterKey, "");
+}
+
 // A broken connection without any packet can be detected only by a timeout.
 TEST_F(StoreSyncTest, WatchTimesOutSoonAfterItsWait) {
   readSnapshot();
