Read MessagePack from the store and reject numbers of another type

Cause: after a kill of all instances the time to the first packet is the time to transfer all registrations to everyone; half of an entry was JSON syntax and the base64 of it. While reading that code: a registration with a negative slot count was accepted as one with four billion slots and would have taken all new flows; booleans and fractions were accepted as well.

The adapter tells both forms apart by the first byte, so a JSON entry of another writer is still read. Numbers of entries are whole numbers within a plausible range, or the entry is unreadable and its field is named.

--- a/tests/store_codec_test.cpp
+++ b/tests/store_codec_test.cpp
@@ -3,6 +3,7 @@
 #include <random>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace indigopoint::platform {
 namespace {
@@ -27,6 +28,13 @@
   return {Status, Body, {}};
 }
 
+// The MessagePack form of a JSON text.
+std::string toMessagePack(const std::string &Text) {
+  std::string Out;
+  nlohmann::json::to_msgpack(nlohmann::json::parse(Text), Out);
+  return Out;
+}
+
 StoreQuery watch(uint64_t After, Duration Wait) {
   StoreQuery Query;
   Query.QueryKind = StoreQuery::Kind::Watch;
@@ -47,6 +55,49 @@
   EXPECT_FALSE(Actual.Draining);
 }
 
+TEST(StoreCodecTest, DecodesMessagePack) {
+  const auto FromText = std::get<UpstreamRegistration>(
+      decodeItem(registrationItem(Registration)));
+  const DecodedItem Result =
+      decodeItem(registrationItem(toMessagePack(Registration)));
+  ASSERT_TRUE(std::holds_alternative<UpstreamRegistration>(Result));
+  EXPECT_EQ(std::get<UpstreamRegistration>(Result), FromText);
+  const std::string Body =
+      R"({"items":[{"Key":"k","Value":"YWJj","Revision":1}],)"
+      R"("HasMore":true,"StoreRevision":9})";
+  const StoreResult Page = decodeResult({}, response(toMessagePack(Body)));
+  ASSERT_EQ(Page.ResultStatus, StoreResult::Status::Answered);
+  ASSERT_EQ(Page.Items.size(), 1U);
+  EXPECT_EQ(Page.Items[0].Value, "abc");
+  EXPECT_TRUE(Page.MorePages);
+  EXPECT_EQ(Page.Revision, 9U);
+}
+
+// Guards against numbers of another type that a conversion would accept: a
+// negative slot count would become a very large one and attract all flows.
+TEST(StoreCodecTest, RejectsNumbersOfAnotherType) {
+  const auto WithNumbers = [](const std::string &Slots,
+                              const std::string &Warmup,
+                              const std::string &Start) {
+    return R"({"Service":"a","Address":"1.2.3.4:5","Zone":"a",)"
+           R"("State":"ready","Concurrency":)" +
+           Slots + R"(,"ColdLeftMs":)" + Warmup + R"(,"born":)" + Start + "}";
+  };
+  EXPECT_TRUE(std::holds_alternative<UpstreamRegistration>(
+      decodeItem(registrationItem(WithNumbers("2", "0", "1700000000000")))));
+  for (const std::string &Value :
+       {WithNumbers("-1", "0", "1"), WithNumbers("2.5", "0", "1"),
+        WithNumbers("true", "0", "1"), WithNumbers("4000000000", "0", "1"),
+        WithNumbers("2", "-1", "1"), WithNumbers("2", "1e12", "1"),
+        WithNumbers("2", "0", "true"), WithNumbers("2", "0", "null")})
+    for (const std::string &Form : {Value, toMessagePack(Value)}) {
+      const DecodedItem Result = decodeItem(registrationItem(Form));
+      ASSERT_TRUE(std::holds_alternative<UnreadableItem>(Result)) << Value;
+      EXPECT_NE(std::get<UnreadableItem>(Result).Reason.find(" is not a whole"),
+                std::string::npos);
+    }
+}
+
 TEST(StoreCodecTest, DecodesIdsLongerThan32Bits) {
   const DecodedItem Result =
       decodeItem(registrationItem(Registration, "servers/i-9540c481a2"));
@@ -195,13 +246,15 @@
 
 // Guards against a crash on damaged input. Each mutation of a valid response or
 // value must be decoded or rejected.
-TEST(StoreCodecTest, HandlesDamagedText) {
+TEST(StoreCodecTest, HandlesDamagedBytes) {
   const std::string Body =
       R"({"items":[{"Key":"servers/i-1","Value":"YWJj","Revision":1}],)"
       R"("HasMore":false,"StoreRevision":1})";
+  const std::vector<std::string> Valid = {
+      Body, Registration, toMessagePack(Body), toMessagePack(Registration)};
   std::mt19937 Random(11);
-  for (int Round = 0; Round < 5000; ++Round) {
-    std::string Damaged = Random() % 2 == 0 ? Body : Registration;
+  for (int Round = 0; Round < 10000; ++Round) {
+    std::string Damaged = Valid[Random() % Valid.size()];
     for (int Change = 0; Change < 3; ++Change)
       Damaged[Random() % Damaged.size()] = static_cast<char>(Random());
     decodeResult({}, response(Damaged));
