Bound the calls to a store that does not answer in a shared zone

Cause: while the store fails, each instance calls it about once a second, in turn with peers, whether its zone has a reader or not. An instance that the store alone rejects also went on calling, although the reader of its zone had fresh data. Ruled out: watches of the readers (6 zones, 1.2 calls a second each) and starts of instances (two pages each) as the main part.

Change: in a zone with a shared reader, instances other than the reader call the failing store at most once in half of the change bound, and ask the reader and other peers in between. If a peer that they follow has reached the store since their last failure, they follow it as before.

--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -109,8 +109,7 @@
   ++(Query.Peer ? (Answered ? CallCounts.Peer : CallCounts.PeerFailed)
                 : (Answered ? CallCounts.Store : CallCounts.StoreFailed));
   const auto Update = Sync.onResult(std::move(Result));
-  if (!Query.Peer)
-    logReachability(FailuresBefore, Status);
+  logReachability(FailuresBefore, Status);
   if (Update) {
     Mirror.apply(*Update, Sync.revision());
     if (Update->endsSnapshot())
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -52,6 +52,7 @@
 StoreQuery StoreSync::start(const SyncSource &Target) {
   IsCallPending = true;
   IsPeerCall = Target.Peer.has_value();
+  IsFollowingPeer = IsPeerCall && Target.Wait > Duration();
   StoreQuery Query;
   Query.Peer = Target.Peer;
   Query.Timeout = IsPeerCall ? PeerTimeout : CallTimeout;
@@ -65,7 +66,7 @@
   Query.AfterRevision = Revision;
   // After a failure, a watch without wait detects sooner that the store is
   // reachable again.
-  if (Failures == 0)
+  if (Failures == 0 || IsPeerCall)
     Query.Wait = Target.Wait;
   Query.Timeout += Query.Wait;
   return Query;
@@ -76,6 +77,7 @@
   NextCallTime = TimeSource.now();
   if (IsPeerCall)
     return onPeerAnswer(Result);
+  PeerCallsInRow = 0;
   switch (Result.ResultStatus) {
   case StoreResult::Status::Answered:
     Failures = 0;
@@ -97,12 +99,14 @@
 // An answer with an older revision than this instance has is ignored.
 std::optional<StoreSync::Update> StoreSync::onPeerAnswer(StoreResult &Result) {
   if (Failures > 0)
-    NextCallTime += DelayAfterPeerCall;
+    NextCallTime += PeerCallsInRow++ == 0 ? DelayAfterPeerCall : retryDelay();
   if (Result.ResultStatus != StoreResult::Status::Answered ||
       Result.Revision < Revision || (NeedsSnapshot && !Result.Complete))
     return std::nullopt;
   Revision = Result.Revision;
   ConfirmedAt = std::max(ConfirmedAt, TimeSource.now() - Result.Age);
+  if (IsFollowingPeer && ConfirmedAt > LastFailure)
+    Failures = 0;
   if (Result.Complete) {
     NeedsSnapshot = false;
     SnapshotLoaded = true;
@@ -123,6 +127,7 @@
 }
 
 void StoreSync::fail() {
+  LastFailure = TimeSource.now();
   NextCallTime += retryDelay();
   ++Failures;
 }
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -131,7 +131,8 @@
   /// Returns whether a whole snapshot has been received.
   bool isSnapshotLoaded() const { return SnapshotLoaded; }
 
-  /// Returns the number of consecutive failed calls to the store.
+  /// Returns the number of consecutive failed calls to the store. It is 0 again
+  /// when a peer that this instance follows has reached the store since.
   uint32_t failures() const { return Failures; }
 
   /// Returns when the store last confirmed the current data, to this instance
@@ -154,6 +155,11 @@
   bool SnapshotLoaded = false;
   bool NeedsSnapshot = true;
   uint32_t Failures = 0;
+  TimePoint LastFailure{};
+  /// Peer calls since the last call to the store.
+  uint32_t PeerCallsInRow = 0;
+  /// Whether the pending call goes to a peer that this instance follows.
+  bool IsFollowingPeer = false;
   uint64_t Revision = 0;
   TimePoint NextCallTime{};
   TimePoint ConfirmedAt{};
--- a/src/sync_planner.cpp
+++ b/src/sync_planner.cpp
@@ -15,32 +15,52 @@
 
 // Maximum age of the data of a peer before the store itself is asked. The rest
 // of ChangeBound is left for that call and one retry.
-Duration SyncPlanner::maxPeerDataAge() const {
-  return Opts.ChangeBound * 3 / 5;
+bool SyncPlanner::isDataTooOld(const StoreSync &Sync) const {
+  return TimeSource.now() - Sync.confirmedAt() > Opts.ChangeBound * 3 / 5;
+}
+
+bool SyncPlanner::followsReader(const StoreSync &Sync) const {
+  return Sync.isSnapshotLoaded() &&
+         Peers.zoneSize() >= MinZoneSizeForSharedReader &&
+         Peers.zoneReader() != Opts.Self;
 }
 
 SyncSource SyncPlanner::next(const StoreSync &Sync) {
   const SyncSource Target = choose(Sync);
   LastCallWentToPeer = Target.Peer.has_value();
+  if (!LastCallWentToPeer)
+    LastStoreCall = TimeSource.now();
   return Target;
 }
 
 SyncSource SyncPlanner::choose(const StoreSync &Sync) {
   const SyncSource Store{std::nullopt, Opts.MaxAge - AnswerTimeout};
-  if (Sync.failures() > 0) {
-    // A peer may still reach the store, so calls alternate between the store
-    // and peers.
-    const auto Peer = LastCallWentToPeer ? std::nullopt : Peers.nextContact();
-    return Peer ? SyncSource{Peer, Duration()} : Store;
-  }
+  if (followsReader(Sync) && !isDataTooOld(Sync))
+    return {Peers.zoneReader(), Opts.ChangeBound / 5};
+  if (Sync.failures() > 0)
+    return chooseWhileStoreFails(Sync);
   if (!Sync.isSnapshotLoaded() || Peers.zoneSize() < MinZoneSizeForSharedReader)
     return Store;
-  const Endpoint Reader = Peers.zoneReader();
-  if (Reader == Opts.Self)
-    return {std::nullopt, Opts.ChangeBound / 6};
-  if (TimeSource.now() - Sync.confirmedAt() > maxPeerDataAge())
-    return {std::nullopt, Duration()};
-  return {Reader, Opts.ChangeBound / 5};
+  return {std::nullopt,
+          Peers.zoneReader() == Opts.Self ? Opts.ChangeBound / 6 : Duration()};
+}
+
+// A peer may still reach the store, so calls alternate between the store and
+// peers. In an outage the reader of the zone soon detects that the store is
+// back. The instances that follow it call the store less often, so that the
+// number of calls does not grow with the number of instances.
+SyncSource SyncPlanner::chooseWhileStoreFails(const StoreSync &Sync) {
+  const bool AskPeer =
+      !LastCallWentToPeer ||
+      (followsReader(Sync) &&
+       TimeSource.now() - LastStoreCall < Opts.ChangeBound / 2);
+  // Asks the reader and other peers by turns, since the reader may be cut off.
+  AskReader = !AskReader;
+  const auto Peer = !AskPeer ? std::nullopt
+                    : AskReader && followsReader(Sync)
+                        ? std::optional(Peers.zoneReader())
+                        : Peers.nextContact();
+  return {Peer, Duration()};
 }
 
 } // namespace indigopoint
--- a/src/sync_planner.h
+++ b/src/sync_planner.h
@@ -31,12 +31,19 @@
 
 private:
   SyncSource choose(const StoreSync &Sync);
-  Duration maxPeerDataAge() const;
+  SyncSource chooseWhileStoreFails(const StoreSync &Sync);
+  /// Whether another instance of the zone reads the store for this one.
+  bool followsReader(const StoreSync &Sync) const;
+  bool isDataTooOld(const StoreSync &Sync) const;
 
   Options Opts;
   const Clock &TimeSource;
   PeerTable &Peers;
   bool LastCallWentToPeer = false;
+  TimePoint LastStoreCall{};
+  /// Whether the last peer that was asked while the store failed was the reader
+  /// of the zone.
+  bool AskReader = false;
 };
 
 } // namespace indigopoint
--- a/tests/sync_planner_test.cpp
+++ b/tests/sync_planner_test.cpp
@@ -76,6 +76,66 @@
   EXPECT_EQ(Source.Wait, 0s);
 }
 
+// Guards against calls to the store that grow with the number of instances
+// during an outage: each call is billed, and the reader of the zone detects
+// that the store is back.
+TEST_F(SyncPlannerTest, FollowersSeldomCallTheStoreDuringAnOutage) {
+  sync();
+  addPeersUntilAnotherInstanceIsReader();
+  const Duration Outage = 9s;
+  int StoreCalls = 0;
+  int PeerCalls = 0;
+  const TimePoint End = TimeSource.now() + Outage;
+  while (TimeSource.now() < End) {
+    const SyncSource Target = Planner.next(Sync);
+    ++(Target.Peer ? PeerCalls : StoreCalls);
+    TimeSource.advance(Sync.start(Target).Wait);
+    StoreResult Answer;
+    if (Target.Peer) {
+      // A peer answers with the data that it had when the outage began.
+      Answer.ResultStatus = StoreResult::Status::Answered;
+      Answer.Revision = 1;
+      Answer.Age = 20s;
+    }
+    Sync.onResult(Answer);
+    TimeSource.advance(
+        std::max(Duration(), Sync.nextCallAt() - TimeSource.now()));
+  }
+  EXPECT_LE(StoreCalls, 6);
+  EXPECT_GE(StoreCalls, 3);
+  // Peers are asked about once a second, not continuously.
+  EXPECT_GE(PeerCalls, 8);
+  EXPECT_LE(PeerCalls, 25);
+}
+
+// Guards against calls to a store that rejects this instance only: its reader
+// has fresh data.
+TEST_F(SyncPlannerTest, RejectedInstanceFollowsItsReader) {
+  sync();
+  addPeersUntilAnotherInstanceIsReader();
+  fail();
+  TimeSource.advance(2s);
+  fail();
+  ASSERT_GT(Sync.failures(), 0U);
+  TimeSource.advance(100ms);
+  const SyncSource PolledPeer = Planner.next(Sync);
+  ASSERT_TRUE(PolledPeer.Peer);
+  Sync.start(PolledPeer);
+  StoreResult Answer;
+  Answer.ResultStatus = StoreResult::Status::Answered;
+  Answer.Revision = 1;
+  Answer.Age = 50ms;
+  Sync.onResult(Answer);
+  TimeSource.advance(
+      std::max(Duration(), Sync.nextCallAt() - TimeSource.now()));
+  const SyncSource Followed = Planner.next(Sync);
+  EXPECT_EQ(Followed.Peer, Peers.zoneReader());
+  EXPECT_GT(Followed.Wait, 0s);
+  Sync.start(Followed);
+  Sync.onResult(Answer);
+  EXPECT_EQ(Sync.failures(), 0U);
+}
+
 // An instance whose calls the store rejects still gets the data of its peers.
 TEST_F(SyncPlannerTest, CallsAlternateWithPeersWhileStoreFails) {
   fail();
