Do not count an accepted connection as an answer of an upstream

Ruled out: the back-off itself and the store (its entries are correct as of the start of the outage).

Change: a successful check only ends the reasons for a check and a failed verdict. Answers to flows alone end the suspicion.

--- a/src/reachability_tracker.cpp
+++ b/src/reachability_tracker.cpp
@@ -69,12 +69,18 @@
   return true;
 }
 
+// An accepted connection is no answer of the upstream: after a crash its address
+// may belong to an upstream of another service, which ignores the packets of
+// this one's flows. It only ends the reasons for a check and a failed verdict.
 void ReachabilityTracker::recordCheckResult(bool IsAccepting, TimePoint Now) {
-  // An answer since the start of the check outweighs its failure.
-  if (IsAccepting)
-    recordAnswer(Now);
-  else if (LastAnswer < LastCheck)
+  if (IsAccepting) {
+    Retransmissions = 0;
+    HasOpenTimeout = false;
+    DeadUntil = {};
+  } else if (LastAnswer < LastCheck) {
+    // An answer since the start of the check outweighs its failure.
     DeadUntil = Now + FailedCheckLifetime;
+  }
 }
 
 void ReachabilityTracker::recordOpening(TimePoint Now) {
--- a/tests/flow_steering_test.cpp
+++ b/tests/flow_steering_test.cpp
@@ -252,6 +252,24 @@
       Upstreams.find(UpstreamId(11))->Reachability.isSuspect(TimeSource.now()));
 }
 
+// Guards against sending flows again and again to an upstream that has crashed
+// and whose address another service uses: its registration remains while the
+// store is down, and connections to its address succeed.
+TEST_F(FlowSteeringTest, AcceptedConnectionIsNoAnswerOfAnUpstream) {
+  const uint64_t CrashedId = idOf(Steering.steer(opening(1)));
+  TimeSource.advance(OpenTimeout);
+  open(2);
+  ASSERT_EQ(CheckedUpstreams, std::vector<uint64_t>({CrashedId}));
+  Steering.recordCheckResult(UpstreamId(CrashedId), true);
+  TimeSource.advance(100ms);
+  const SteeringDecision Copy = Steering.steer(opening(1, ChatAddress, 1));
+  EXPECT_EQ(Copy.Reason, SteeringReason::MovedOpening);
+  EXPECT_NE(idOf(Copy), CrashedId);
+  Steering.steer(data(1, idOf(Copy)));
+  for (uint16_t Port = 3; Port < 20; ++Port)
+    EXPECT_NE(open(Port), CrashedId);
+}
+
 // Only one flow at a time tries a suspect upstream, since the client has to
 // wait for a timeout if the upstream is still unresponsive.
 TEST_F(FlowSteeringTest, OneFlowTriesASuspectUpstreamAfterTheBackoff) {
