Reset waiting flows as soon as their upstream's check fails

Cause: a flow whose upstream is found dead was reset at the next packet of its client.

Change: flow steering keeps which flows retransmit, by upstream, and resets them through a hook when the check fails. The set of flows that are reset is the same as before; idle flows are still not touched on a verdict.

--- a/measure/steering.cpp
+++ b/measure/steering.cpp
@@ -154,7 +154,8 @@
         : Steering({Zone, TestedPolicy.Make(Zone)}, TimeSource, Routes,
                    Upstreams, Metrics,
                    {[](const FlowAddress &, const Upstream &) {},
-                    [](const Upstream &) {}}) {}
+                    [](const Upstream &) {},
+                    [](const PacketHeader &, const SteeringDecision &) {}}) {}
     RouteTable Routes;
     UpstreamRegistry Upstreams;
     SteeringMetrics Metrics;
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -50,6 +50,30 @@
   if (Target != nullptr &&
       (IsAccepting || Now - LastAnswerFromAnyUpstream <= RecentAnswerWindow))
     Target->Reachability.recordCheckResult(IsAccepting, Now);
+  if (Target != nullptr && Target->Reachability.isDead(Now))
+    resetWaitingFlows(*Target);
+}
+
+// The next retransmission of a waiting client may come too late for a new
+// attempt, since the intervals between retransmissions double.
+void FlowSteering::resetWaitingFlows(Upstream &DeadUpstream) {
+  const UpstreamId Id = DeadUpstream.Registration.Id;
+  const auto [Begin, End] = RetransmittingFlows.equal_range(Id);
+  for (auto It = Begin; It != End; ++It) {
+    SteeredFlow *Flow = Flows.find(It->second);
+    if (Flow == nullptr || Flow->Upstream != Id || !Flow->HasRetransmitted ||
+        Flow->CurrentPhase != SteeredFlow::Phase::Open)
+      continue;
+    PacketHeader Packet;
+    Packet.Flow = It->second;
+    Packet.AckNumber = Flow->HighestAck;
+    const SteeringDecision Decision{
+        SteeringAction::Reset, SteeringReason::UpstreamDead, &DeadUpstream};
+    setPhase(*Flow, SteeredFlow::Phase::Closing);
+    Metrics.countDecision(Decision);
+    FlowHooks.OnReset(Packet, Decision);
+  }
+  RetransmittingFlows.erase(Begin, End);
 }
 
 SteeringDecision FlowSteering::decide(const PacketHeader &Packet) {
@@ -272,10 +296,14 @@
                                 !isAfter(DataEnd, Flow.NextSequence);
   if (HasNewAnswer) {
     Flow.HighestAck = Packet.AckNumber;
+    Flow.HasRetransmitted = false;
     LastAnswerFromAnyUpstream = Now;
     Target.Reachability.recordAnswer(Now);
   }
   if (IsRetransmission) {
+    if (!Flow.HasRetransmitted)
+      RetransmittingFlows.emplace(Flow.Upstream, Packet.Flow);
+    Flow.HasRetransmitted = true;
     Target.Reachability.recordRetransmission(Now);
     requestCheckIfDue(Target);
   }
@@ -337,6 +365,11 @@
   // An upper limit on the lifetime of any flow.
   constexpr Duration FlowLifetime = std::chrono::minutes(2);
   Upstreams.expire(Now, FlowLifetime);
+  std::erase_if(RetransmittingFlows, [this](const auto &Entry) {
+    const SteeredFlow *Flow = Flows.find(Entry.second);
+    return Flow == nullptr || !Flow->HasRetransmitted ||
+           Flow->Upstream != Entry.first;
+  });
   std::erase_if(LastFlowByClient, [this](const auto &Entry) {
     return Flows.find(Entry.second) == nullptr;
   });
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -30,6 +31,9 @@
     /// Asks the caller to check whether the upstream accepts connections and
     /// to pass the result to recordCheckResult.
     std::function<void(const Upstream &)> OnCheckNeeded;
+    /// Asks the caller to reset a flow without a packet to decide on. The
+    /// packet has the flow's address and last acknowledgement number.
+    std::function<void(const PacketHeader &, const SteeringDecision &)> OnReset;
   };
 
   FlowSteering(Options Opts, const Clock &TimeSource, RouteTable &Routes,
@@ -77,6 +81,8 @@
   std::optional<SteeringReason> reasonToReset(const Upstream &Target,
                                               bool IsRetransmission) const;
   void requestCheckIfDue(Upstream &Target);
+  /// Resets the flows of a dead upstream whose clients wait for an answer.
+  void resetWaitingFlows(Upstream &DeadUpstream);
   Upstream *choose(const std::string &Service, const NewFlow &FlowToOpen);
   bool canAssignFlow(const Upstream &Target, const FlowAddress &Flow);
   /// Updates the flow and its upstream's reachability from a packet after the
@@ -104,6 +110,9 @@
   SteeredFlowTable Flows;
   /// The flow that each client opened last, by the client's address.
   std::unordered_map<uint32_t, FlowAddress> LastFlowByClient;
+  /// Flows whose clients retransmit, by upstream. May also hold flows that were
+  /// answered or closed since.
+  std::multimap<UpstreamId, FlowAddress> RetransmittingFlows;
   /// Time of the most recent answer from any upstream.
   TimePoint LastAnswerFromAnyUpstream{};
   /// Moving average of the time from an opening packet to the client's next
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -97,7 +97,12 @@
                        const Upstream &UnresponsiveUpstream) {
                   logOpenTimeout(Flow, UnresponsiveUpstream);
                 },
-                [this](const Upstream &Suspect) { startCheck(Suspect); }}),
+                [this](const Upstream &Suspect) { startCheck(Suspect); },
+                [this](const PacketHeader &Packet,
+                       const SteeringDecision &Decision) {
+                  sendReset(Packet);
+                  logDecision(Packet, Decision);
+                }}),
       UpdateApplier(this->Protocol.DecodeItem, TimeSource, Log, Routes,
                     Upstreams),
       Follower(Loop, this->Settings, this->Protocol.Store, TimeSource, Log,
@@ -198,6 +203,7 @@
 void Forwarder::Impl::onCheckResult(UpstreamId Id, bool IsAccepting) {
   TimeSource.refresh();
   Steering.recordCheckResult(Id, IsAccepting);
+  DataSocket.flush();
   Log.write(LogEvent::UpstreamChecked, [&] {
     const Upstream *CheckedUpstream = Upstreams.find(Id);
     EventLog::Fields Line = {
--- a/src/steered_flow_table.h
+++ b/src/steered_flow_table.h
@@ -26,6 +26,8 @@
   /// Whether the flow is counted in its upstream's pending openings. Unlike
   /// Phase::Opening, this ends when OpenTimeout has passed.
   bool IsCountedAsPending = false;
+  /// Whether the client has retransmitted data that is not acknowledged yet.
+  bool HasRetransmitted = false;
   /// Sequence number of the opening packet. A different one in a later opening
   /// packet means that the client has reused the port for a new flow.
   uint32_t InitialSequence = 0;
--- a/tests/flow_steering_test.cpp
+++ b/tests/flow_steering_test.cpp
@@ -350,6 +350,31 @@
   EXPECT_NE(open(3), DeadId);
 }
 
+// Guards against clients that learn of the failure only from their next
+// retransmission: its interval doubles and may exceed what is left of their
+// timeout.
+TEST_F(FlowSteeringTest, FailedCheckResetsWaitingFlowsAtOnce) {
+  const uint64_t DeadId = openAtDeadUpstream();
+  ASSERT_EQ(ResetFlows.size(), 1U);
+  EXPECT_EQ(ResetFlows[0].Flow, data(1, DeadId).Flow);
+  EXPECT_EQ(ResetFlows[0].AckNumber, 500U);
+}
+
+// An idle flow is not reset on a verdict that may be wrong; an answered one
+// shows that the upstream works.
+TEST_F(FlowSteeringTest, FailedCheckResetsNoOtherFlows) {
+  const uint64_t Id = open(1);
+  uint16_t IdlePort = 2;
+  while (open(IdlePort) != Id)
+    ++IdlePort;
+  TimeSource.advance(300ms);
+  Steering.steer(data(1, Id, 500));
+  Steering.steer(data(1, Id, 500));
+  Steering.steer(data(1, Id, 600));
+  Steering.recordCheckResult(UpstreamId(Id), false);
+  EXPECT_TRUE(ResetFlows.empty());
+}
+
 TEST_F(FlowSteeringTest, AnswerDuringACheckOutweighsItsFailure) {
   const uint64_t Id = open(1);
   open(2);
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -113,6 +113,7 @@
   SteeringMetrics Metrics;
   std::vector<uint64_t> TimedOutUpstreams;
   std::vector<uint64_t> CheckedUpstreams;
+  std::vector<PacketHeader> ResetFlows;
   FlowSteering Steering{
       {"a", makeZoneAwareLeastFlowsPolicy("a")},
       TimeSource,
@@ -124,6 +125,9 @@
        },
        [this](const Upstream &Target) {
          CheckedUpstreams.push_back(Target.Registration.Id.value());
+       },
+       [this](const PacketHeader &Packet, const SteeringDecision &) {
+         ResetFlows.push_back(Packet);
        }}};
   uint64_t Revision = 0;
 };
