Check an upstream after the first retransmission of a client

Cause: an instance of a large fleet has about one flow at each upstream, so the second retransmission that a check needed came 600 ms after the request. With upstreams that go dark the verdict then came after 850 ms, past the response time goal, and later flows of other instances waited in the same way.

--- a/src/reachability_tracker.cpp
+++ b/src/reachability_tracker.cpp
@@ -18,8 +18,9 @@
 constexpr uint32_t MinRefusalsToSuspect = 2;
 
 // Clients also retransmit requests that take long to process, so
-// retransmissions only lead to a check.
-constexpr uint32_t MinRetransmissionsToCheck = 2;
+// retransmissions only lead to a check. In a large fleet an instance has about
+// one flow at each upstream, so the first retransmission is the only early sign
+// of a crash.
 constexpr Duration MinTimeWithoutAnswer = std::chrono::milliseconds(200);
 constexpr Duration MinCheckInterval = std::chrono::seconds(1);
 
@@ -33,7 +34,7 @@
   LastAnswer = Now;
   WaitStartedAt = Now;
   Refusals = 0;
-  Retransmissions = 0;
+  HasRetransmission = false;
   HasOpenTimeout = false;
   DeadUntil = {};
   SuspectUntil = {};
@@ -58,23 +59,24 @@
 
 void ReachabilityTracker::recordRetransmission(TimePoint Now) {
   if (Now - LastAnswer >= MinTimeWithoutAnswer)
-    ++Retransmissions;
+    HasRetransmission = true;
 }
 
 bool ReachabilityTracker::startCheckIfDue(TimePoint Now) {
-  if ((Retransmissions < MinRetransmissionsToCheck && !HasOpenTimeout) ||
+  if ((!HasRetransmission && !HasOpenTimeout) ||
       Now - LastCheck < MinCheckInterval)
     return false;
   LastCheck = Now;
   return true;
 }
 
-// An accepted connection is no answer of the upstream: after a crash its address
-// may belong to an upstream of another service, which ignores the packets of
-// this one's flows. It only ends the reasons for a check and a failed verdict.
+// An accepted connection is no answer of the upstream: after a crash its
+// address may belong to an upstream of another service, which ignores the
+// packets of this one's flows. It only ends the reasons for a check and a
+// failed verdict.
 void ReachabilityTracker::recordCheckResult(bool IsAccepting, TimePoint Now) {
   if (IsAccepting) {
-    Retransmissions = 0;
+    HasRetransmission = false;
     HasOpenTimeout = false;
     DeadUntil = {};
   } else if (LastAnswer < LastCheck) {
--- a/src/reachability_tracker.h
+++ b/src/reachability_tracker.h
@@ -31,8 +31,8 @@
   void recordRetransmission(TimePoint Now);
 
   /// Returns whether to check the upstream now, and if so records the start of
-  /// the check. A check is due after several retransmissions or a timed-out
-  /// opening, at most once a second.
+  /// the check. A check is due after a retransmission or a timed-out opening,
+  /// at most once a second.
   bool startCheckIfDue(TimePoint Now);
 
   /// Records whether a check found that the upstream accepts connections.
@@ -58,8 +58,8 @@
   /// When the current wait for an answer started: when the first of these
   /// openings was sent, or at the last answer after it.
   TimePoint WaitStartedAt{};
-  /// Retransmissions by clients since the last answer.
-  uint32_t Retransmissions = 0;
+  /// Whether a client has retransmitted data since the last answer.
+  bool HasRetransmission = false;
   bool HasOpenTimeout = false;
   TimePoint LastCheck{};
   TimePoint DeadUntil{};
--- a/tests/flow_steering_test.cpp
+++ b/tests/flow_steering_test.cpp
@@ -332,6 +332,17 @@
   EXPECT_EQ(CheckedUpstreams, std::vector<uint64_t>({Id}));
 }
 
+// Guards against clients that wait for a second retransmission, 600 ms after
+// their request, before the crash of their upstream is detected.
+TEST_F(FlowSteeringTest, FirstRetransmissionLeadsToACheck) {
+  const uint64_t Id = open(1);
+  open(2);
+  TimeSource.advance(200ms);
+  EXPECT_TRUE(CheckedUpstreams.empty());
+  Steering.steer(data(1, Id, 500));
+  EXPECT_EQ(CheckedUpstreams, std::vector<uint64_t>({Id}));
+}
+
 // Without resets, the clients of an unresponsive upstream would lose one
 // request per open flow, since they would notice the failure only by a timeout.
 TEST_F(FlowSteeringTest, FlowsOfAnUpstreamThatAcceptsNoConnectionsAreReset) {
