--- a/src/sync_planner.cpp
+++ b/src/sync_planner.cpp
@@ -54,13 +54,14 @@
       !LastCallWentToPeer ||
       (followsReader(Sync) &&
        TimeSource.now() - LastStoreCall < Opts.ChangeBound / 2);
-  // Asks the reader and other peers by turns, since the reader may be cut off.
-  AskReader = !AskReader;
-  const auto Peer = !AskPeer ? std::nullopt
-                    : AskReader && followsReader(Sync)
-                        ? std::optional(Peers.zoneReader())
-                        : Peers.nextContact();
-  return {Peer, Duration()};
+  if (!AskPeer)
+    return {std::nullopt, Duration()};
+  // The reader may be cut off as well, so other peers are asked in turn with
+  // it.
+  LastPeerWasReader = !LastPeerWasReader;
+  if (LastPeerWasReader && followsReader(Sync))
+    return {Peers.zoneReader(), Duration()};
+  return {Peers.nextContact(), Duration()};
 }
 
 } // namespace indigopoint
--- a/src/sync_planner.h
+++ b/src/sync_planner.h
@@ -41,9 +41,9 @@
   PeerTable &Peers;
   bool LastCallWentToPeer = false;
   TimePoint LastStoreCall{};
-  /// Whether the last peer that was asked while the store failed was the reader
+  /// Whether the peer that was asked last while the store failed is the reader
   /// of the zone.
-  bool AskReader = false;
+  bool LastPeerWasReader = false;
 };
 
 } // namespace indigopoint
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -125,8 +125,10 @@
   SlowResponder(EventLoop &Loop, Duration Pause, std::string Response)
       : Response(std::move(Response)) {
     const sockaddr_in Any = toSocketAddress(AnyPort);
-    bind(Listener, reinterpret_cast<const sockaddr *>(&Any), sizeof(Any));
-    listen(Listener, 1);
+    EXPECT_EQ(
+        bind(Listener, reinterpret_cast<const sockaddr *>(&Any), sizeof(Any)),
+        0);
+    EXPECT_EQ(listen(Listener, 1), 0);
     Timer = LoopEvent::every(Loop, Pause, [this] { sendNextByte(); });
   }
 
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -44,10 +44,11 @@
   StoreResult ask(uint64_t After, Duration Wait) {
     StoreResult Result;
     bool HasAnswer = false;
-    Client.Exchange.ask(ServerAddress, After, Wait, {2s}, [&](StoreResult Reply) {
-      Result = std::move(Reply);
-      HasAnswer = true;
-    });
+    Client.Exchange.ask(ServerAddress, After, Wait, {2s},
+                        [&](StoreResult Reply) {
+                          Result = std::move(Reply);
+                          HasAnswer = true;
+                        });
     EXPECT_TRUE(runUntil(Loop, [&] { return HasAnswer; }));
     return Result;
   }
