--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -15,6 +15,7 @@
     status=1
 done
 python3 soak/oracle_test.py || status=1
+python3 experiments/experiments_test.py || status=1
 while read -r name filter; do
   [ -n "$name" ] || continue
   if "$build/$name" --gtest_brief=1 --gtest_filter="$filter" > /dev/null 2>&1; then
