Place fewer new flows on upstreams that answer slowly; policy options

Change: instances measure the time from a request to the client's acknowledgement of its answer. An upstream that takes 1.5 times the median of its service or more counts with accordingly fewer slots, until 3 s without an answer. No further call or message is needed. All rules of placement, reachability, checks and sharing of the store become options in the section "policy" of the settings, so that each can be measured.

--- a/measure/steering.cpp
+++ b/measure/steering.cpp
@@ -127,7 +127,11 @@
 const std::vector<Policy> Policies = {
     {"hash in zone", hashInZone},
     {"two choices in zone", twoChoicesInZone},
-    {"least flows, zone first", makeZoneAwareLeastFlowsPolicy, true},
+    {"least flows, zone first",
+     [](const std::string &Zone) {
+       return makeZoneAwareLeastFlowsPolicy(Zone);
+     },
+     true},
     {"least flows, spill at 1.5", leastFlowsWithSpill},
     {"least flows, any zone", leastFlowsAnywhere}};
 
--- a/src/balancing_policy.cpp
+++ b/src/balancing_policy.cpp
@@ -1,5 +1,7 @@
 #include "balancing_policy.h"
 
+#include <algorithm>
+#include <optional>
 #include <tuple>
 
 #include "placement.h"
@@ -10,30 +12,52 @@
 
 namespace {
 
-constexpr double WarmupShare = 0.5;
-
-// If the zone lost less than this share of its slots, its flows stay in the
-// zone, because a flow between two zones fails if either zone is cut off.
-constexpr double MinLossForOtherZones = 0.3;
-
-// If this many openings of a flow found no answer in the zone, its other
-// upstreams may have failed for the same reason.
-constexpr uint32_t MaxOpeningsInZone = 2;
+// Response times vary with the requests, so smaller differences are ignored.
+constexpr double MinSlowdown = 1.5;
 
 // An upstream that answered within this time is probably running.
 constexpr Duration RecentAnswerWindow = std::chrono::seconds(2);
 
-double slotsOf(const Upstream &Target, TimePoint Now) {
+double slotsOf(const Upstream &Target, TimePoint Now, double WarmupShare) {
   return Target.Registration.Slots * (Target.WarmupEnd > Now ? WarmupShare : 1);
 }
 
+// The median of the upstreams' average response times; nothing if none is
+// known.
+std::optional<Duration>
+medianResponseTime(const std::vector<Upstream *> &Candidates, TimePoint Now) {
+  std::vector<Duration> Averages;
+  for (const Upstream *Candidate : Candidates)
+    if (const auto Average = Candidate->ResponseTimes.recentAverage(Now))
+      Averages.push_back(*Average);
+  if (Averages.empty())
+    return std::nullopt;
+  const auto Middle =
+      Averages.begin() + static_cast<ptrdiff_t>(Averages.size() / 2);
+  std::nth_element(Averages.begin(), Middle, Averages.end());
+  return *Middle;
+}
+
+// How many times as long as usual the upstream takes for an answer; 1 if that
+// is not known.
+double slowdownOf(const Upstream &Target, std::optional<Duration> Usual,
+                  TimePoint Now) {
+  const auto Average = Target.ResponseTimes.recentAverage(Now);
+  if (!Average || !Usual || *Usual <= Duration())
+    return 1;
+  const double Ratio = static_cast<double>(Average->count()) /
+                       static_cast<double>(Usual->count());
+  return Ratio < MinSlowdown ? 1 : Ratio;
+}
+
 bool hasAnsweredRecently(const Upstream &Target, TimePoint Now) {
   return Now - Target.Reachability.lastAnswer() <= RecentAnswerWindow;
 }
 
 class ZoneAwareLeastFlows {
 public:
-  explicit ZoneAwareLeastFlows(std::string Zone) : Zone(std::move(Zone)) {}
+  ZoneAwareLeastFlows(std::string Zone, PlacementOptions Opts)
+      : Zone(std::move(Zone)), Opts(Opts) {}
 
   Upstream *choose(const std::vector<Upstream *> &Candidates,
                    const NewFlow &Flow, TimePoint Now);
@@ -46,7 +70,15 @@
   zoneOfUnansweredOpening(const std::vector<Upstream *> &Candidates,
                           const NewFlow &Flow) const;
 
+  bool isSuspect(const Upstream &Candidate, TimePoint Now) const {
+    return Opts.AvoidSuspects && Candidate.Reachability.isSuspect(Now);
+  }
+  /// The load by which upstreams of equal rank are compared.
+  double loadOf(const Upstream &Candidate, std::optional<Duration> Usual,
+                TimePoint Now) const;
+
   std::string Zone;
+  PlacementOptions Opts;
   ZoneCapacity Capacity;
 };
 
@@ -66,43 +98,58 @@
     const std::vector<Upstream *> &Candidates, uint64_t Hash, TimePoint Now) {
   double ZoneSlots = 0;
   for (const Upstream *Candidate : Candidates)
-    if (Candidate->Registration.Zone == Zone &&
-        !Candidate->Reachability.isSuspect(Now))
-      ZoneSlots += slotsOf(*Candidate, Now);
+    if (Candidate->Registration.Zone == Zone && !isSuspect(*Candidate, Now))
+      ZoneSlots += slotsOf(*Candidate, Now, Opts.WarmupShare);
   const double MissingShare = Capacity.recordSlotsAndGetMissingShare(
       Candidates.front()->Registration.Service, ZoneSlots, Now);
-  return MissingShare >= MinLossForOtherZones &&
+  return MissingShare >= Opts.MinLossForOtherZones &&
          fractionOf(Hash) < MissingShare;
 }
 
+double ZoneAwareLeastFlows::loadOf(const Upstream &Candidate,
+                                   std::optional<Duration> Usual,
+                                   TimePoint Now) const {
+  if (!Opts.CountOpenFlows)
+    return 0;
+  const double Flows = flowsPerSlot(Candidate, Now, Opts.WarmupShare);
+  return Flows * slowdownOf(Candidate, Usual, Now);
+}
+
 Upstream *ZoneAwareLeastFlows::choose(const std::vector<Upstream *> &Candidates,
                                       const NewFlow &Flow, TimePoint Now) {
   if (Candidates.empty())
     return nullptr;
   const uint64_t Hash = hashOf(Flow.Address);
-  const bool LeaveZone = Flow.UnansweredOpenings >= MaxOpeningsInZone;
+  // After several unanswered openings, the other upstreams of the zone may have
+  // failed for the same reason.
+  const bool LeaveZone = Opts.MaxOpeningsInZone > 0 &&
+                         Flow.UnansweredOpenings >= Opts.MaxOpeningsInZone;
   const bool UseOtherZone =
       decideWhetherToUseOtherZone(Candidates, Hash, Now) || LeaveZone;
   const std::string &ReferenceZone =
       LeaveZone ? zoneOfUnansweredOpening(Candidates, Flow) : Zone;
   // An instance knows of most crashes only from its own flows, so an upstream
   // without evidence may have crashed together with the first choice.
-  const bool NeedsProof = Flow.UnansweredOpenings > 0;
+  const bool NeedsProof =
+      Opts.PreferAnsweringUpstreams && Flow.UnansweredOpenings > 0;
+  const std::optional<Duration> Usual =
+      Opts.CountResponseTime ? medianResponseTime(Candidates, Now)
+                             : std::nullopt;
   Upstream *BestCandidate = nullptr;
   std::tuple<bool, bool, bool, bool, double, uint64_t> BestScore;
   for (Upstream *Candidate : Candidates) {
     const UpstreamRegistration &Registration = Candidate->Registration;
     const bool IsUnproven = NeedsProof && !hasAnsweredRecently(*Candidate, Now);
     const bool IsInWrongZone =
+        Opts.PreferOwnZone &&
         (Registration.Zone == ReferenceZone) == UseOtherZone;
     // The hash breaks ties, so that instances without load information spread
     // different flows over different upstreams.
-    const std::tuple Score(Registration.Id == Flow.UpstreamToAvoid,
-                           Candidate->Reachability.isSuspect(Now),
-                           LeaveZone ? IsInWrongZone : IsUnproven,
-                           LeaveZone ? IsUnproven : IsInWrongZone,
-                           flowsPerSlot(*Candidate, Now),
-                           rendezvousScore(Hash, Registration.Id.value()));
+    const std::tuple Score(
+        Registration.Id == Flow.UpstreamToAvoid, isSuspect(*Candidate, Now),
+        LeaveZone ? IsInWrongZone : IsUnproven,
+        LeaveZone ? IsUnproven : IsInWrongZone, loadOf(*Candidate, Usual, Now),
+        rendezvousScore(Hash, Registration.Id.value()));
     if (BestCandidate == nullptr || Score < BestScore) {
       BestCandidate = Candidate;
       BestScore = Score;
@@ -113,12 +160,13 @@
 
 } // namespace
 
-double flowsPerSlot(const Upstream &Target, TimePoint Now) {
-  return (Target.OpenFlows + 1) / slotsOf(Target, Now);
+double flowsPerSlot(const Upstream &Target, TimePoint Now, double WarmupShare) {
+  return (Target.OpenFlows + 1) / slotsOf(Target, Now, WarmupShare);
 }
 
-BalancingPolicy makeZoneAwareLeastFlowsPolicy(std::string Zone) {
-  return [Policy = ZoneAwareLeastFlows(std::move(Zone))](
+BalancingPolicy makeZoneAwareLeastFlowsPolicy(std::string Zone,
+                                              PlacementOptions Opts) {
+  return [Policy = ZoneAwareLeastFlows(std::move(Zone), Opts)](
              const std::vector<Upstream *> &Candidates, const NewFlow &Flow,
              TimePoint Now) mutable {
     return Policy.choose(Candidates, Flow, Now);
--- a/src/balancing_policy.h
+++ b/src/balancing_policy.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "policy_options.h"
 #include "upstream_registry.h"
 
 namespace indigopoint {
@@ -26,14 +27,19 @@
                              const NewFlow &Flow, TimePoint Now)>;
 
 /// This instance's open flows per slot of an upstream, after adding one more
-/// flow. During its warm-up an upstream counts with half of its slots.
-double flowsPerSlot(const Upstream &Target, TimePoint Now);
+/// flow. During its warm-up an upstream counts with \p WarmupShare of its
+/// slots.
+double flowsPerSlot(const Upstream &Target, TimePoint Now,
+                    double WarmupShare = PlacementOptions().WarmupShare);
 
 /// Returns a policy that prefers upstreams that are not suspect, then
 /// those in \p Zone to those in other zones, then the fewest flows per slot.
 /// Because of the zone preference, a network partition between zones affects
 /// only the flows of clients in another zone. If the zone lost a large
 /// share of its slots, the same share of the flows prefers other zones.
-BalancingPolicy makeZoneAwareLeastFlowsPolicy(std::string Zone);
+/// An upstream that answers more slowly than the others of its service counts
+/// with accordingly fewer slots. \p Opts can switch off each of these rules.
+BalancingPolicy makeZoneAwareLeastFlowsPolicy(std::string Zone,
+                                              PlacementOptions Opts = {});
 
 } // namespace indigopoint
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -38,7 +38,8 @@
 }
 
 void FlowSteering::requestCheckIfDue(Upstream &Target) {
-  if (Target.Reachability.startCheckIfDue(TimeSource.now()))
+  if (Opts.Checks.Enabled &&
+      Target.Reachability.startCheckIfDue(TimeSource.now()))
     FlowHooks.OnCheckNeeded(Target);
 }
 
@@ -50,7 +51,8 @@
   if (Target != nullptr &&
       (IsAccepting || Now - LastAnswerFromAnyUpstream <= RecentAnswerWindow))
     Target->Reachability.recordCheckResult(IsAccepting, Now);
-  if (Target != nullptr && Target->Reachability.isDead(Now))
+  if (Target != nullptr && Opts.Checks.ResetWaitingFlows &&
+      Target->Reachability.isDead(Now))
     resetWaitingFlows(*Target);
 }
 
@@ -114,7 +116,8 @@
   // whichever answer arrived last.
   if (CurrentUpstream != nullptr &&
       canAssignFlow(*CurrentUpstream, Packet.Flow) &&
-      CurrentUpstream->Reachability.lastAnswer() > Flow->OpenedAt)
+      (!Opts.Placement.MoveUnansweredOpenings ||
+       CurrentUpstream->Reachability.lastAnswer() > Flow->OpenedAt))
     return forwardUnlessAddressReused(SteeringReason::RepeatedOpening,
                                       *CurrentUpstream);
   return assignNewUpstream(Packet, *MatchedRoute, Flow, Flow->Upstream);
@@ -176,7 +179,8 @@
   if (Target != nullptr &&
       TimeSource.now() - PreviousFlow->OpenedAt >= TypicalOpenLatency * 9 / 10)
     Target->Reachability.recordRefusal(TimeSource.now());
-  return PreviousFlow->Upstream;
+  return Opts.Placement.AvoidRefusedUpstream ? PreviousFlow->Upstream
+                                             : UpstreamId();
 }
 
 // The upstream is unsuitable if the flow's tag at this upstream collides with
@@ -292,28 +296,45 @@
   const bool HasNewAnswer =
       WasOpening || isAfter(Packet.AckNumber, Flow.HighestAck);
   const uint32_t DataEnd = Packet.Sequence + Packet.DataBytes;
-  const bool IsRetransmission = !HasNewAnswer && Packet.DataBytes > 0 &&
-                                !isAfter(DataEnd, Flow.NextSequence);
-  if (HasNewAnswer) {
-    Flow.HighestAck = Packet.AckNumber;
-    Flow.HasRetransmitted = false;
-    LastAnswerFromAnyUpstream = Now;
-    Target.Reachability.recordAnswer(Now);
+  const bool HasNewData =
+      Packet.DataBytes > 0 && isAfter(DataEnd, Flow.NextSequence);
+  const bool IsRetransmission =
+      !HasNewAnswer && !HasNewData && Packet.DataBytes > 0;
+  if (HasNewAnswer)
+    recordAnswer(Packet, Flow, Target);
+  if (HasNewData) {
+    Flow.NextSequence = DataEnd;
+    Flow.LastNewDataAt = Now;
+    if (!Flow.RequestSentAt)
+      Flow.RequestSentAt = Now;
   }
   if (IsRetransmission) {
     if (!Flow.HasRetransmitted)
       RetransmittingFlows.emplace(Flow.Upstream, Packet.Flow);
     Flow.HasRetransmitted = true;
-    Target.Reachability.recordRetransmission(Now);
+    if (Opts.Checks.AtRetransmission)
+      Target.Reachability.recordRetransmission(Now);
     requestCheckIfDue(Target);
   }
-  if (isAfter(DataEnd, Flow.NextSequence))
-    Flow.NextSequence = DataEnd;
   if (Packet.IsFinal || Packet.IsReset)
     setPhase(Flow, SteeredFlow::Phase::Closing);
   return IsRetransmission;
 }
 
+// The answer to a request that was retransmitted may be that to either copy, so
+// it says nothing of the upstream's speed.
+void FlowSteering::recordAnswer(const PacketHeader &Packet, SteeredFlow &Flow,
+                                Upstream &Target) {
+  const TimePoint Now = TimeSource.now();
+  if (Flow.RequestSentAt && !Flow.HasRetransmitted)
+    Target.ResponseTimes.record(Now - *Flow.RequestSentAt, Now);
+  Flow.RequestSentAt.reset();
+  Flow.HighestAck = Packet.AckNumber;
+  Flow.HasRetransmitted = false;
+  LastAnswerFromAnyUpstream = Now;
+  Target.Reachability.recordAnswer(Now);
+}
+
 SteeringDecision
 FlowSteering::forwardUnlessAddressReused(SteeringReason Reason,
                                          Upstream &Target) const {
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -23,6 +23,8 @@
   struct Options {
     std::string Zone;
     BalancingPolicy Policy;
+    PlacementOptions Placement = {};
+    CheckOptions Checks = {};
   };
 
   struct Hooks {
@@ -78,6 +80,10 @@
   SteeringDecision forwardOrReset(const PacketHeader &Packet,
                                   SteeringReason Reason, bool IsRetransmission,
                                   Upstream &Target);
+  /// Updates the flow and its upstream's state when the client acknowledges new
+  /// data of the upstream.
+  void recordAnswer(const PacketHeader &Packet, SteeredFlow &Flow,
+                    Upstream &Target);
   std::optional<SteeringReason> reasonToReset(const Upstream &Target,
                                               bool IsRetransmission) const;
   void requestCheckIfDue(Upstream &Target);
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -90,8 +90,11 @@
     : Loop(Loop), Settings(std::move(Settings)), Protocol(std::move(Protocol)),
       OnStop(std::move(OnStop)),
       Log({this->Settings.Name, this->Settings.LogLinesPerSecond}, TimeSource),
+      Upstreams(this->Settings.Policy.Reachability),
       Steering({this->Settings.Zone,
-                makeZoneAwareLeastFlowsPolicy(this->Settings.Zone)},
+                makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
+                                              this->Settings.Policy.Placement),
+                this->Settings.Policy.Placement, this->Settings.Policy.Checks},
                TimeSource, Routes, Upstreams, Metrics,
                {[this](const FlowAddress &Flow,
                        const Upstream &UnresponsiveUpstream) {
@@ -110,7 +113,7 @@
                  UpdateApplier.apply(Update);
                  startReceiving();
                }),
-      Checks(Loop,
+      Checks(Loop, this->Settings.Policy.Checks.UseReference,
              [this](UpstreamId Id, bool IsAccepting) {
                onCheckResult(Id, IsAccepting);
              }),
--- a/src/forwarder_settings.cpp
+++ b/src/forwarder_settings.cpp
@@ -1,5 +1,7 @@
 #include "forwarder_settings.h"
 
+#include "policy_settings.h"
+
 namespace indigopoint {
 
 namespace {
@@ -37,6 +39,7 @@
                            MaxLogLines);
         Reader.wholeNumber("linkMbps", Settings.LinkMbps, MaxLinkMbps);
         Reader.seconds("stopLimitS", Settings.StopLimit, MaxStopLimitS);
+        readPolicyOptions(Reader, Settings.Policy);
       });
   if (Errors.empty())
     Out = std::move(Settings);
--- a/src/forwarder_settings.h
+++ b/src/forwarder_settings.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "policy_options.h"
 #include "settings_reader.h"
 #include "types.h"
 
@@ -37,6 +38,8 @@
   /// Time limit of a graceful shutdown, after which the process is killed from
   /// outside.
   Duration StopLimit = std::chrono::seconds(6);
+  /// Read at the start only; a reload does not change them.
+  PolicyOptions Policy;
   bool operator==(const ForwarderSettings &) const = default;
 };
 
--- a/src/reachability_tracker.cpp
+++ b/src/reachability_tracker.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-constexpr Duration InitialBackoff = std::chrono::seconds(1);
-constexpr Duration MaxBackoff = std::chrono::seconds(8);
-
 // The upstream has probably crashed if several openings have been pending for
 // longer than the usual time to the client's next packet, and the upstream has
 // answered nothing since the first of these openings.
@@ -24,10 +21,6 @@
 constexpr Duration MinTimeWithoutAnswer = std::chrono::milliseconds(200);
 constexpr Duration MinCheckInterval = std::chrono::seconds(1);
 
-// How long a failed check counts. The upstream may recover, so the next check
-// has to confirm the failure.
-constexpr Duration FailedCheckLifetime = std::chrono::milliseconds(1500);
-
 } // namespace
 
 void ReachabilityTracker::recordAnswer(TimePoint Now) {
@@ -47,8 +40,8 @@
   // timeout, so that the backoff is doubled only once.
   if (SuspectUntil > Now + OpenTimeout)
     return;
-  Backoff = Backoff == Duration() ? InitialBackoff
-                                  : std::min(Backoff * 2, MaxBackoff);
+  Backoff = Backoff == Duration() ? Opts->InitialBackoff
+                                  : std::min(Backoff * 2, Opts->MaxBackoff);
   SuspectUntil = Now + Backoff;
 }
 
@@ -81,7 +74,7 @@
     DeadUntil = {};
   } else if (LastAnswer < LastCheck) {
     // An answer since the start of the check outweighs its failure.
-    DeadUntil = Now + FailedCheckLifetime;
+    DeadUntil = Now + Opts->FailedCheckLifetime;
   }
 }
 
@@ -99,7 +92,8 @@
 
 bool ReachabilityTracker::isSuspect(TimePoint Now) const {
   return Now < SuspectUntil || isDead(Now) ||
-         (PendingOpenings >= MinPendingToSuspect &&
+         (Opts->SuspectPendingOpenings &&
+          PendingOpenings >= MinPendingToSuspect &&
           Now - WaitStartedAt > PendingTimeout);
 }
 
--- a/src/reachability_tracker.h
+++ b/src/reachability_tracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy_options.h"
 #include "types.h"
 
 namespace indigopoint {
@@ -8,6 +9,12 @@
 /// instance, so they are inferred from the packets of the upstream's clients.
 class ReachabilityTracker {
 public:
+  /// \p Opts must outlive the tracker.
+  explicit ReachabilityTracker(const ReachabilityOptions &Opts) : Opts(&Opts) {}
+
+  /// Forgets everything about the upstream, which was restarted.
+  void reset() { *this = ReachabilityTracker(*Opts); }
+
   /// Called when a client's packet shows that the upstream has answered.
   void recordAnswer(TimePoint Now);
 
@@ -49,6 +56,7 @@
   TimePoint lastAnswer() const { return LastAnswer; }
 
 private:
+  const ReachabilityOptions *Opts;
   TimePoint LastAnswer{};
   TimePoint SuspectUntil{};
   Duration Backoff{};
--- a/src/settings_reader.cpp
+++ b/src/settings_reader.cpp
@@ -129,6 +129,44 @@
         std::chrono::duration<double>(Number));
 }
 
+void SettingsReader::boolean(const std::string &Key, bool &Out) {
+  const Json *Value = find(Key);
+  if (Value == nullptr)
+    return;
+  if (!Value->is_boolean())
+    fail(Key, Value->dump(), "give true or false");
+  else
+    Out = Value->get<bool>();
+}
+
+void SettingsReader::number(const std::string &Key, double &Out, double Min,
+                            double Max) {
+  const Json *Value = find(Key);
+  if (Value == nullptr)
+    return;
+  if (!Value->is_number() || Value->get<double>() < Min ||
+      Value->get<double>() > Max)
+    fail(Key, Value->dump(),
+         "give a number from " + Json(Min).dump() + " to " + Json(Max).dump());
+  else
+    Out = Value->get<double>();
+}
+
+void SettingsReader::object(
+    const std::string &Key,
+    const std::function<void(SettingsReader &)> &ReadMembers) {
+  const Json *Value = find(Key);
+  if (Value == nullptr)
+    return;
+  if (!Value->is_object()) {
+    fail(Key, Value->dump(), "give an object");
+    return;
+  }
+  SettingsReader Members(*Value, Pointer + "/" + Key, File, Errors);
+  ReadMembers(Members);
+  Members.reportUnknownKeys();
+}
+
 void SettingsReader::optionalUnsigned(const std::string &Key,
                                       std::optional<uint64_t> &Out) {
   const Json *Value = find(Key);
--- a/src/settings_reader.h
+++ b/src/settings_reader.h
@@ -52,6 +52,16 @@
   /// A number from 0 to \p Max, fractions allowed.
   void seconds(const std::string &Key, Duration &Out, uint32_t Max);
 
+  void boolean(const std::string &Key, bool &Out);
+
+  /// A number from \p Min to \p Max.
+  void number(const std::string &Key, double &Out, double Min, double Max);
+
+  /// Passes the members of an object to \p ReadMembers and reports unknown
+  /// ones.
+  void object(const std::string &Key,
+              const std::function<void(SettingsReader &)> &ReadMembers);
+
   void optionalUnsigned(const std::string &Key, std::optional<uint64_t> &Out);
 
   /// Adds an error for each key that no other function was called for.
--- a/src/steered_flow_table.h
+++ b/src/steered_flow_table.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <unordered_map>
 
 #include "packet.h"
@@ -37,6 +38,11 @@
   uint32_t NextSequence = 0;
   TimePoint LastSeen{};
   TimePoint OpenedAt{};
+  /// When the first data after the last answer was seen; unset if the flow
+  /// waits for no answer.
+  std::optional<TimePoint> RequestSentAt;
+  /// When data was last seen that the client had not sent before.
+  TimePoint LastNewDataAt{};
 };
 
 /// The flows whose packets recently passed through this instance. Losing an
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -64,10 +64,10 @@
       TimeSource(TimeSource), Log(Log), OnUpdate(std::move(OnUpdate)),
       Http(Loop),
       Peers(ownPeerInfo(Settings), Settings.Seeds, TimeSource, Random),
-      Sync(TimeSource, Random),
-      Planner(
-          {Settings.PeerAddress, Settings.MaxStoreAge, Settings.ChangeBound},
-          TimeSource, Peers),
+      Sync(TimeSource, Random, Settings.Policy.StoreSharing.DelayAfterChange),
+      Planner({Settings.PeerAddress, Settings.MaxStoreAge, Settings.ChangeBound,
+               Settings.Policy.StoreSharing},
+              TimeSource, Peers),
       Exchange(Loop, Http, ownPeerInfo(Settings), Peers, Mirror,
                [this] { return dataAge(); }) {}
 
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -25,10 +25,6 @@
 // earlier.
 constexpr Duration SnapshotTransferTimeout = std::chrono::seconds(8);
 
-// Changes come in groups, and each call is billed. The next watch therefore
-// starts after a short delay and returns the rest of the group in one answer.
-constexpr Duration DelayAfterChange = std::chrono::milliseconds(400);
-
 // Timers of an event loop count from the start of its iteration and so may fire
 // slightly early. A call that is due within this time is made immediately.
 constexpr Duration TimerSlack = std::chrono::milliseconds(20);
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "clock.h"
+#include "policy_options.h"
 #include "random_source.h"
 #include "types.h"
 
@@ -113,8 +114,10 @@
     std::vector<StoreItem> Items;
   };
 
-  StoreSync(const Clock &TimeSource, RandomSource &Random)
-      : TimeSource(TimeSource), Random(Random) {}
+  StoreSync(const Clock &TimeSource, RandomSource &Random,
+            Duration DelayAfterChange = StoreSharingOptions().DelayAfterChange)
+      : TimeSource(TimeSource), Random(Random),
+        DelayAfterChange(DelayAfterChange) {}
 
   /// Returns whether a call is due and no call is pending.
   bool isDue() const;
@@ -150,6 +153,7 @@
 
   const Clock &TimeSource;
   RandomSource &Random;
+  Duration DelayAfterChange;
   bool IsCallPending = false;
   bool IsPeerCall = false;
   bool SnapshotLoaded = false;
--- a/src/sync_planner.cpp
+++ b/src/sync_planner.cpp
@@ -4,10 +4,6 @@
 
 namespace {
 
-// In a smaller zone every instance reads the store: a shared reader must call
-// the store more often, so sharing would save no calls.
-constexpr size_t MinZoneSizeForSharedReader = 6;
-
 // Maximum time for the answer to a call without wait.
 constexpr Duration AnswerTimeout = std::chrono::milliseconds(900);
 
@@ -19,9 +15,12 @@
   return TimeSource.now() - Sync.confirmedAt() > Opts.ChangeBound * 3 / 5;
 }
 
+bool SyncPlanner::hasSharedReader() const {
+  return Peers.zoneSize() >= Opts.Sharing.MinZoneSizeForSharedReader;
+}
+
 bool SyncPlanner::followsReader(const StoreSync &Sync) const {
-  return Sync.isSnapshotLoaded() &&
-         Peers.zoneSize() >= MinZoneSizeForSharedReader &&
+  return Sync.isSnapshotLoaded() && hasSharedReader() &&
          Peers.zoneReader() != Opts.Self;
 }
 
@@ -35,31 +34,30 @@
 
 SyncSource SyncPlanner::choose(const StoreSync &Sync) {
   const SyncSource Store{std::nullopt, Opts.MaxAge - AnswerTimeout};
-  if (followsReader(Sync) && !isDataTooOld(Sync))
+  const bool FollowsReader = followsReader(Sync);
+  if (FollowsReader && !isDataTooOld(Sync))
     return {Peers.zoneReader(), Opts.ChangeBound / 5};
-  if (Sync.failures() > 0)
-    return chooseWhileStoreFails(Sync);
-  if (!Sync.isSnapshotLoaded() || Peers.zoneSize() < MinZoneSizeForSharedReader)
+  if (Sync.failures() > 0 && Opts.Sharing.AskPeersInOutage)
+    return chooseWhileStoreFails(FollowsReader);
+  if (!Sync.isSnapshotLoaded() || !hasSharedReader())
     return Store;
-  return {std::nullopt,
-          Peers.zoneReader() == Opts.Self ? Opts.ChangeBound / 6 : Duration()};
+  return {std::nullopt, FollowsReader ? Duration() : Opts.ChangeBound / 6};
 }
 
 // A peer may still reach the store, so calls alternate between the store and
 // peers. In an outage the reader of the zone soon detects that the store is
 // back. The instances that follow it call the store less often, so that the
 // number of calls does not grow with the number of instances.
-SyncSource SyncPlanner::chooseWhileStoreFails(const StoreSync &Sync) {
-  const bool AskPeer =
-      !LastCallWentToPeer ||
-      (followsReader(Sync) &&
-       TimeSource.now() - LastStoreCall < Opts.ChangeBound / 2);
+SyncSource SyncPlanner::chooseWhileStoreFails(bool FollowsReader) {
+  const bool AskPeer = !LastCallWentToPeer ||
+                       (FollowsReader && TimeSource.now() - LastStoreCall <
+                                             Opts.ChangeBound / 2);
   if (!AskPeer)
     return {std::nullopt, Duration()};
   // The reader may be cut off as well, so other peers are asked in turn with
   // it.
   LastPeerWasReader = !LastPeerWasReader;
-  if (LastPeerWasReader && followsReader(Sync))
+  if (LastPeerWasReader && FollowsReader)
     return {Peers.zoneReader(), Duration()};
   return {Peers.nextContact(), Duration()};
 }
--- a/src/sync_planner.h
+++ b/src/sync_planner.h
@@ -4,6 +4,7 @@
 
 #include "clock.h"
 #include "peer_table.h"
+#include "policy_options.h"
 #include "store_sync.h"
 #include "types.h"
 
@@ -21,6 +22,7 @@
     /// Maximum time from the acknowledgement of a change by the store until
     /// this instance has it, even if any one other instance fails.
     Duration ChangeBound = std::chrono::seconds(3);
+    StoreSharingOptions Sharing = {};
   };
 
   SyncPlanner(Options Opts, const Clock &TimeSource, PeerTable &Peers)
@@ -31,7 +33,9 @@
 
 private:
   SyncSource choose(const StoreSync &Sync);
-  SyncSource chooseWhileStoreFails(const StoreSync &Sync);
+  SyncSource chooseWhileStoreFails(bool FollowsReader);
+  /// Whether one instance of the zone reads the store for the others.
+  bool hasSharedReader() const;
   /// Whether another instance of the zone reads the store for this one.
   bool followsReader(const StoreSync &Sync) const;
   bool isDataTooOld(const StoreSync &Sync) const;
--- a/src/upstream_check.cpp
+++ b/src/upstream_check.cpp
@@ -13,7 +13,7 @@
 
 struct UpstreamCheck::PendingCheck {
   UpstreamId Id;
-  int PendingConnections = 3;
+  int PendingConnections = 0;
   bool IsSuspectAccepting = false;
   bool IsReferenceAccepting = false;
 };
@@ -23,6 +23,8 @@
 void UpstreamCheck::start(const Upstream &Suspect, const Upstream &Reference) {
   auto Check = std::make_shared<PendingCheck>();
   Check->Id = Suspect.Registration.Id;
+  Check->IsReferenceAccepting = !UseReference;
+  Check->PendingConnections = UseReference ? 3 : 2;
   const auto OnSuspectResult = [this, Check](bool IsAccepting) {
     Check->IsSuspectAccepting |= IsAccepting;
     onConnectionResult(*Check);
@@ -31,6 +33,8 @@
                         OnSuspectResult);
   ConnectionCheck.start(Suspect.Registration.Address, CheckTimeout,
                         OnSuspectResult);
+  if (!UseReference)
+    return;
   ConnectionCheck.start(Reference.Registration.Address, CheckTimeout,
                         [this, Check](bool IsAccepting) {
                           Check->IsReferenceAccepting = IsAccepting;
--- a/src/upstream_check.h
+++ b/src/upstream_check.h
@@ -13,8 +13,10 @@
 public:
   using ResultHook = std::function<void(UpstreamId, bool IsAccepting)>;
 
-  UpstreamCheck(EventLoop &Loop, ResultHook OnResult)
-      : ConnectionCheck(Loop), OnResult(std::move(OnResult)) {}
+  /// Without \p UseReference, a failed connection alone fails the check.
+  UpstreamCheck(EventLoop &Loop, bool UseReference, ResultHook OnResult)
+      : ConnectionCheck(Loop), UseReference(UseReference),
+        OnResult(std::move(OnResult)) {}
 
   /// Starts to connect to \p Suspect and \p Reference. The hook is not called
   /// if both fail, since the fault is then more likely on this instance's side,
@@ -27,6 +29,7 @@
   void onConnectionResult(PendingCheck &Check);
 
   ConnectCheck ConnectionCheck;
+  bool UseReference;
   ResultHook OnResult;
 };
 
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -33,7 +33,7 @@
 UpstreamRegistry::Change
 UpstreamRegistry::put(const UpstreamRegistration &Registration,
                       uint64_t CreatedRevision, TimePoint Now) {
-  auto [It, IsNew] = Upstreams.try_emplace(Registration.Id);
+  auto [It, IsNew] = Upstreams.try_emplace(Registration.Id, Opts);
   Upstream &Entry = It->second;
   const UpstreamState NewState =
       Registration.Draining ? UpstreamState::Draining : UpstreamState::Ready;
@@ -51,8 +51,10 @@
     Result = Change::RegisteredAgain;
   if (!IsNew)
     removeFromIndexes(Entry);
-  if (Result == Change::Restarted)
-    Entry.Reachability = {};
+  if (Result == Change::Restarted) {
+    Entry.Reachability.reset();
+    Entry.ResponseTimes = {};
+  }
   Entry.Registration = Registration;
   Entry.State = NewState;
   Entry.CreatedRevision = CreatedRevision;
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -8,6 +8,7 @@
 
 #include "packet.h"
 #include "reachability_tracker.h"
+#include "response_time_tracker.h"
 #include "types.h"
 
 namespace indigopoint {
@@ -41,6 +42,8 @@
 
 /// One upstream and this instance's state for it.
 struct Upstream {
+  explicit Upstream(const ReachabilityOptions &Opts) : Reachability(Opts) {}
+
   UpstreamRegistration Registration;
   UpstreamState State = UpstreamState::Ready;
   /// Revision of the registration store at which the registration was created.
@@ -52,12 +55,20 @@
   uint32_t OpenFlows = 0;
   /// Written by flow steering.
   ReachabilityTracker Reachability;
+  /// Written by flow steering.
+  ResponseTimeTracker ResponseTimes;
 };
 
 /// The upstreams that registered themselves in the store, indexed by id,
 /// service and tag.
 class UpstreamRegistry {
 public:
+  explicit UpstreamRegistry(const ReachabilityOptions &Opts = {})
+      : Opts(Opts) {}
+  // The upstreams refer to the options.
+  UpstreamRegistry(const UpstreamRegistry &) = delete;
+  UpstreamRegistry &operator=(const UpstreamRegistry &) = delete;
+
   enum class Change : uint8_t {
     None,
     Added,
@@ -125,6 +136,7 @@
   void addToIndexes(Upstream &Target);
   void removeFromIndexes(Upstream &Target);
 
+  ReachabilityOptions Opts;
   bool HasReadAllRegistrations = false;
   TimePoint LastStoreSync{};
   std::map<UpstreamId, Upstream> Upstreams;
--- a/tests/balancing_policy_test.cpp
+++ b/tests/balancing_policy_test.cpp
@@ -10,7 +10,7 @@
 class BalancingPolicyTest : public testing::Test {
 protected:
   Upstream make(uint64_t Id, const std::string &Zone, uint32_t Flows = 0) {
-    Upstream Result;
+    Upstream Result(Reachability);
     Result.Registration.Id = UpstreamId(Id);
     Result.Registration.Zone = Zone;
     Result.Registration.Slots = 2;
@@ -28,6 +28,20 @@
     Target.Reachability.recordOpenTimeout(Now);
   }
 
+  // Gives the upstream an average response time.
+  void answer(Upstream &Target, Duration ResponseTime) {
+    for (int Count = 0; Count < 8; ++Count)
+      Target.ResponseTimes.record(ResponseTime, Now);
+  }
+
+  int countChoicesOf(const Upstream &Target) {
+    int Count = 0;
+    for (uint16_t Port = 0; Port < 100; ++Port)
+      Count += choose(Port) == &Target ? 1 : 0;
+    return Count;
+  }
+
+  ReachabilityOptions Reachability;
   TimePoint Now{1h};
   BalancingPolicy Policy = makeZoneAwareLeastFlowsPolicy("a");
   Upstream FirstUpstream = make(1, "a");
@@ -126,6 +140,49 @@
   EXPECT_EQ(Policy({&FirstUpstream}, {{}, UpstreamId(1)}, Now), &FirstUpstream);
 }
 
+// Guards against slow upstreams that get as many new flows as the others, whose
+// requests then queue there while the others have free slots.
+TEST_F(BalancingPolicyTest, SlowUpstreamGetsFewerFlows) {
+  answer(FirstUpstream, 200ms);
+  answer(SecondUpstream, 50ms);
+  answer(OtherZoneUpstream, 50ms);
+  EXPECT_EQ(countChoicesOf(FirstUpstream), 0);
+  FirstUpstream.OpenFlows = 1;
+  SecondUpstream.OpenFlows = 8;
+  EXPECT_EQ(choose(), &FirstUpstream);
+}
+
+TEST_F(BalancingPolicyTest, SmallDifferencesOfResponseTimesAreIgnored) {
+  answer(FirstUpstream, 60ms);
+  answer(SecondUpstream, 50ms);
+  answer(OtherZoneUpstream, 50ms);
+  EXPECT_GT(countChoicesOf(FirstUpstream), 25);
+}
+
+// Guards against an upstream that is avoided forever, because it gets no flows
+// that would show that it has recovered.
+TEST_F(BalancingPolicyTest, OldResponseTimesAreForgotten) {
+  answer(FirstUpstream, 200ms);
+  answer(SecondUpstream, 50ms);
+  answer(OtherZoneUpstream, 50ms);
+  Now += 4s;
+  EXPECT_GT(countChoicesOf(FirstUpstream), 25);
+}
+
+TEST_F(BalancingPolicyTest, OptionsSwitchOffTheRules) {
+  PlacementOptions Opts;
+  Opts.CountResponseTime = false;
+  Opts.PreferOwnZone = false;
+  Opts.AvoidSuspects = false;
+  Policy = makeZoneAwareLeastFlowsPolicy("a", Opts);
+  answer(FirstUpstream, 200ms);
+  answer(SecondUpstream, 50ms);
+  answer(OtherZoneUpstream, 50ms);
+  makeSuspect(FirstUpstream);
+  EXPECT_GT(countChoicesOf(FirstUpstream), 15);
+  EXPECT_GT(countChoicesOf(OtherZoneUpstream), 15);
+}
+
 TEST_F(BalancingPolicyTest, StartingUpstreamCountsHalfOfItsSlots) {
   FirstUpstream.OpenFlows = SecondUpstream.OpenFlows = 2;
   FirstUpstream.WarmupEnd = Now + 1s;
--- /dev/null
+++ b/tests/flow_exchange_test.cpp
@@ -0,0 +1,80 @@
+// What an instance learns from the exchanges of requests and answers on open
+// flows.
+
+#include "steering_fixture.h"
+
+namespace indigopoint {
+namespace {
+
+using namespace std::chrono_literals;
+
+class FlowExchangeTest : public SteeringFixture {
+protected:
+  // Sends a request and, after ResponseTime, the client's acknowledgement of
+  // the answer.
+  void exchange(uint16_t Port, uint64_t Id, Duration ResponseTime) {
+    PacketHeader Packet = data(Port, Id, AckNumber);
+    Packet.Sequence = Sequence;
+    Steering.steer(Packet);
+    Sequence += Packet.DataBytes;
+    TimeSource.advance(ResponseTime);
+    acknowledge(Port, Id);
+  }
+
+  void acknowledge(uint16_t Port, uint64_t Id) {
+    AckNumber += 100;
+    PacketHeader Packet = data(Port, Id, AckNumber);
+    Packet.Sequence = Sequence;
+    Packet.DataBytes = 0;
+    Steering.steer(Packet);
+  }
+
+  std::optional<Duration> averageOf(uint64_t Id) {
+    return Upstreams.find(UpstreamId(Id))
+        ->ResponseTimes.recentAverage(TimeSource.now());
+  }
+
+  uint32_t Sequence = 1101;
+  uint32_t AckNumber = 500;
+};
+
+TEST_F(FlowExchangeTest, AnswersGiveTheAverageResponseTime) {
+  const uint64_t Id = open(1);
+  EXPECT_EQ(averageOf(Id), std::nullopt);
+  acknowledge(1, Id);
+  for (int Count = 0; Count < 20; ++Count)
+    exchange(1, Id, 40ms);
+  ASSERT_TRUE(averageOf(Id));
+  EXPECT_NEAR(static_cast<double>(averageOf(Id)->count()), 40'000, 1000);
+}
+
+TEST_F(FlowExchangeTest, PausesBetweenRequestsAreNotCounted) {
+  const uint64_t Id = open(1);
+  acknowledge(1, Id);
+  for (int Count = 0; Count < 20; ++Count) {
+    exchange(1, Id, 40ms);
+    TimeSource.advance(500ms);
+  }
+  ASSERT_TRUE(averageOf(Id));
+  EXPECT_LT(*averageOf(Id), 45ms);
+}
+
+// Guards against an upstream that looks slow because a packet was lost.
+TEST_F(FlowExchangeTest, RetransmittedRequestsAreNotCounted) {
+  const uint64_t Id = open(1);
+  acknowledge(1, Id);
+  for (int Count = 0; Count < 20; ++Count) {
+    PacketHeader Packet = data(1, Id, AckNumber);
+    Packet.Sequence = Sequence;
+    Steering.steer(Packet);
+    TimeSource.advance(200ms);
+    Steering.steer(Packet);
+    Sequence += Packet.DataBytes;
+    TimeSource.advance(40ms);
+    acknowledge(1, Id);
+  }
+  EXPECT_EQ(averageOf(Id), std::nullopt);
+}
+
+} // namespace
+} // namespace indigopoint
--- a/tests/forwarder_settings_test.cpp
+++ b/tests/forwarder_settings_test.cpp
@@ -49,6 +49,45 @@
             "nearest known key \"store\"");
 }
 
+TEST(ForwarderSettingsTest, ReadsPolicyOptions) {
+  ForwarderSettings Settings;
+  const auto Errors = parseForwarderSettings("{" + Minimal + R"(,
+        "policy": {"placement": {"preferOwnZone": false, "warmupShare": 0.25,
+                                 "maxOpeningsInZone": 0},
+                   "reachability": {"maxBackoffMs": 500},
+                   "checks": {"useReference": false},
+                   "storeSharing": {"delayAfterChangeMs": 700}}})",
+                                             "s.json", Settings);
+  ASSERT_TRUE(Errors.empty()) << toString(Errors[0]);
+  PolicyOptions Expected;
+  Expected.Placement.PreferOwnZone = false;
+  Expected.Placement.WarmupShare = 0.25;
+  Expected.Placement.MaxOpeningsInZone = 0;
+  Expected.Reachability.MaxBackoff = std::chrono::milliseconds(500);
+  Expected.Checks.UseReference = false;
+  Expected.StoreSharing.DelayAfterChange = std::chrono::milliseconds(700);
+  EXPECT_EQ(Settings.Policy, Expected);
+}
+
+// Guards against options that are misspelled or out of range and then have no
+// effect without a message.
+TEST(ForwarderSettingsTest, ReportsInvalidPolicyOptions) {
+  const auto Errors = errorsOf(Minimal + R"(,
+      "policy": {"placement": {"preferOwnZone": 1, "warmupShare": 0,
+                               "preferOwnZon": true},
+                 "checks": [], "storeSharing": {"delayAfterChangeMs": -1}})");
+  ASSERT_EQ(Errors.size(), 5U);
+  EXPECT_EQ(toString(Errors[0]), "s.json: /policy/placement/preferOwnZone: "
+                                 "found 1; give true or false");
+  EXPECT_EQ(toString(Errors[1]), "s.json: /policy/placement/warmupShare: "
+                                 "found 0; give a number from 0.01 to 1.0");
+  EXPECT_EQ(toString(Errors[2]),
+            "s.json: /policy/placement/preferOwnZon: found an unknown key; "
+            "remove it, or use the nearest known key \"preferOwnZone\"");
+  EXPECT_EQ(Errors[3].Pointer, "/policy/checks");
+  EXPECT_EQ(Errors[4].Pointer, "/policy/storeSharing/delayAfterChangeMs");
+}
+
 TEST(ForwarderSettingsTest, ReportsMissingRequiredKeys) {
   EXPECT_EQ(errorsOf("").size(), 5U);
 }
