Do not take reordered packets for retransmissions

Cause: a data packet that ends before the newest data seen counted as a retransmission.

Result: FlowExchangeTest.ReorderedPacketsAreNoRetransmission, which fails without the change (reset and check of a running upstream).

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -10,6 +10,10 @@
 // network connection works.
 constexpr Duration RecentAnswerWindow = std::chrono::milliseconds(500);
 
+// Clients retransmit data that was not acknowledged for longer than this.
+// Packets that arrive sooner after newer data were only reordered on the way.
+constexpr Duration MinRetransmissionDelay = std::chrono::milliseconds(100);
+
 // Sequence numbers wrap around.
 bool isAfter(uint32_t A, uint32_t B) { return static_cast<int32_t>(A - B) > 0; }
 
@@ -299,7 +303,8 @@
   const bool HasNewData =
       Packet.DataBytes > 0 && isAfter(DataEnd, Flow.NextSequence);
   const bool IsRetransmission =
-      !HasNewAnswer && !HasNewData && Packet.DataBytes > 0;
+      !HasNewAnswer && !HasNewData && Packet.DataBytes > 0 &&
+      Now - Flow.LastNewDataAt >= MinRetransmissionDelay;
   if (HasNewAnswer)
     recordAnswer(Packet, Flow, Target);
   if (HasNewData) {
--- a/tests/flow_exchange_test.cpp
+++ b/tests/flow_exchange_test.cpp
@@ -76,5 +76,22 @@
   EXPECT_EQ(averageOf(Id), std::nullopt);
 }
 
+// Packets of an upload overtake each other. Guards against connection checks
+// of upstreams that work, and against resets of their flows.
+TEST_F(FlowExchangeTest, ReorderedPacketsAreNoRetransmission) {
+  const uint64_t Id = open(1);
+  Upstreams.remove(UpstreamId(Id), TimeSource.now());
+  TimeSource.advance(3s);
+  Upstreams.recordStoreSync(TimeSource.now());
+  PacketHeader Later = data(1, Id);
+  Later.Sequence = Sequence + Later.DataBytes;
+  EXPECT_EQ(Steering.steer(Later).Action, SteeringAction::Forward);
+  PacketHeader Earlier = data(1, Id);
+  Earlier.Sequence = Sequence;
+  TimeSource.advance(2ms);
+  EXPECT_EQ(Steering.steer(Earlier).Action, SteeringAction::Forward);
+  EXPECT_TRUE(CheckedUpstreams.empty());
+}
+
 } // namespace
 } // namespace indigopoint
