Wait a fifth of the change bound after a change before the next call

Cause: changes come in groups; after one, an instance waited 400 ms for the rest and called again.

Change: the delay is a share of the time within which changes must be in force (option "delayAfterChangeShare", 0.2): 600 ms of 3 s, 1 s of 5 s. Two such delays, of a zone's reader and of an instance behind it, leave three fifths for calls and a retry.

--- a/src/policy_options.h
+++ b/src/policy_options.h
@@ -70,9 +70,10 @@
   uint32_t MinZoneSizeForSharedReader = 6;
   /// Ask other instances while the store does not answer.
   bool AskPeersInOutage = true;
-  /// The time from a change to the next call. Changes come in groups, and the
-  /// call returns the rest of the group in one answer.
-  Duration DelayAfterChange = std::chrono::milliseconds(400);
+  /// The time from a change to the next call, as a share of the time within
+  /// which changes must be in force. Changes come in groups, and the call
+  /// returns the rest of the group in one answer.
+  double DelayAfterChangeShare = 0.2;
   bool operator==(const StoreSharingOptions &) const = default;
 };
 
--- a/src/policy_settings.cpp
+++ b/src/policy_settings.cpp
@@ -8,10 +8,13 @@
 
 constexpr uint64_t MaxBackoffMs = 600'000;
 constexpr uint64_t MaxCheckLifetimeMs = 60'000;
-constexpr uint64_t MaxDelayAfterChangeMs = 5'000;
 constexpr uint32_t MaxOpenings = 100;
 constexpr uint32_t MaxZoneSize = 1'000'000;
 
+// The rest of the time is left for the call itself, a retry, and a zone's
+// reader that waits as long before.
+constexpr double MaxDelayAfterChangeShare = 0.25;
+
 // With less, an upstream in its warm-up would count as having no slots.
 constexpr double MinWarmupShare = 0.01;
 
@@ -47,8 +50,8 @@
   Reader.wholeNumber("minZoneSizeForSharedReader",
                      Out.MinZoneSizeForSharedReader, MaxZoneSize);
   Reader.boolean("askPeersInOutage", Out.AskPeersInOutage);
-  Reader.milliseconds("delayAfterChangeMs", Out.DelayAfterChange, 0,
-                      MaxDelayAfterChangeMs);
+  Reader.number("delayAfterChangeShare", Out.DelayAfterChangeShare, 0,
+                MaxDelayAfterChangeShare);
 }
 
 } // namespace
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -18,6 +18,12 @@
 constexpr Duration MaxContactPeriod = std::chrono::seconds(2);
 constexpr Duration ContactTimeout = std::chrono::milliseconds(500);
 
+Duration delayAfterChange(const ForwarderSettings &Settings) {
+  return std::chrono::duration_cast<Duration>(
+      Settings.ChangeBound *
+      Settings.Policy.StoreSharing.DelayAfterChangeShare);
+}
+
 PeerInfo ownPeerInfo(const ForwarderSettings &Settings) {
   return {Settings.PeerAddress, Settings.Zone, Duration(), Settings.LinkMbps};
 }
@@ -64,7 +70,7 @@
       TimeSource(TimeSource), Log(Log), OnUpdate(std::move(OnUpdate)),
       Http(Loop),
       Peers(ownPeerInfo(Settings), Settings.Seeds, TimeSource, Random),
-      Sync(TimeSource, Random, Settings.Policy.StoreSharing.DelayAfterChange),
+      Sync(TimeSource, Random, delayAfterChange(Settings)),
       Planner({Settings.PeerAddress, Settings.MaxStoreAge, Settings.ChangeBound,
                Settings.Policy.StoreSharing},
               TimeSource, Peers),
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include "clock.h"
-#include "policy_options.h"
 #include "random_source.h"
 #include "types.h"
 
@@ -114,8 +113,9 @@
     std::vector<StoreItem> Items;
   };
 
+  /// \p DelayAfterChange is the time from a change to the next call.
   StoreSync(const Clock &TimeSource, RandomSource &Random,
-            Duration DelayAfterChange = StoreSharingOptions().DelayAfterChange)
+            Duration DelayAfterChange)
       : TimeSource(TimeSource), Random(Random),
         DelayAfterChange(DelayAfterChange) {}
 
--- a/tests/forwarder_settings_test.cpp
+++ b/tests/forwarder_settings_test.cpp
@@ -56,7 +56,7 @@
                                  "maxOpeningsInZone": 0},
                    "reachability": {"maxBackoffMs": 500},
                    "checks": {"useReference": false},
-                   "storeSharing": {"delayAfterChangeMs": 700}}})",
+                   "storeSharing": {"delayAfterChangeShare": 0.1}}})",
                                              "s.json", Settings);
   ASSERT_TRUE(Errors.empty()) << toString(Errors[0]);
   PolicyOptions Expected;
@@ -65,7 +65,7 @@
   Expected.Placement.MaxOpeningsInZone = 0;
   Expected.Reachability.MaxBackoff = std::chrono::milliseconds(500);
   Expected.Checks.UseReference = false;
-  Expected.StoreSharing.DelayAfterChange = std::chrono::milliseconds(700);
+  Expected.StoreSharing.DelayAfterChangeShare = 0.1;
   EXPECT_EQ(Settings.Policy, Expected);
 }
 
@@ -75,7 +75,7 @@
   const auto Errors = errorsOf(Minimal + R"(,
       "policy": {"placement": {"preferOwnZone": 1, "warmupShare": 0,
                                "preferOwnZon": true},
-                 "checks": [], "storeSharing": {"delayAfterChangeMs": -1}})");
+                 "checks": [], "storeSharing": {"delayAfterChangeShare": -1}})");
   ASSERT_EQ(Errors.size(), 5U);
   EXPECT_EQ(toString(Errors[0]), "s.json: /policy/placement/preferOwnZone: "
                                  "found 1; give true or false");
@@ -85,7 +85,7 @@
             "s.json: /policy/placement/preferOwnZon: found an unknown key; "
             "remove it, or use the nearest known key \"preferOwnZone\"");
   EXPECT_EQ(Errors[3].Pointer, "/policy/checks");
-  EXPECT_EQ(Errors[4].Pointer, "/policy/storeSharing/delayAfterChangeMs");
+  EXPECT_EQ(Errors[4].Pointer, "/policy/storeSharing/delayAfterChangeShare");
 }
 
 TEST(ForwarderSettingsTest, ReportsMissingRequiredKeys) {
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -68,7 +68,7 @@
 
   ManualClock TimeSource;
   RandomSource Random{1};
-  StoreSync Sync{TimeSource, Random};
+  StoreSync Sync{TimeSource, Random, std::chrono::milliseconds(400)};
 };
 
 TEST_F(StoreSyncTest, StartsWithSnapshotAndWatchesFromItsRevision) {
--- a/tests/sync_planner_test.cpp
+++ b/tests/sync_planner_test.cpp
@@ -39,7 +39,7 @@
   ManualClock TimeSource;
   RandomSource Random{1};
   PeerTable Peers{{{1, 9}, "a", 0s, 100}, {{77, 9}}, TimeSource, Random};
-  StoreSync Sync{TimeSource, Random};
+  StoreSync Sync{TimeSource, Random, std::chrono::milliseconds(400)};
   SyncPlanner Planner{{{1, 9}, 4s, 3s}, TimeSource, Peers};
 };
 
