--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,12 @@
 FAULT_S = (0.5, 5)
 REGISTRATION_EXPIRY_OUTAGE_S = 2
 REFUSALS = (429, 503)
+# The age of the copy to which the store returns.
+COPY_AGE_S = (0.5, 6)
+# Operators and upstreams write what a restored store has lost within this time.
+REWRITE_S = (0.1, 2)
+# A restored store removes the registrations of upstreams that have left.
+EXPIRY_S = 3.6
 
 
 class Faults:
@@ -29,7 +35,7 @@
         self.counts = {}
         self.kinds = [self.pause, self.kill, self.stop, self.store_link, self.silence_connections,
                       self.turn_away, self.reload, self.broken_settings, self.outage, self.slow,
-                      self.forget, self.lapse, self.drain, self.crash, self.silence_upstream,
+                      self.forget, self.restore_copy, self.lapse, self.drain, self.crash, self.silence_upstream,
                       self.toggle_route, self.toggle_route, self.burst_of_changes]
 
     def step(self):
@@ -193,6 +199,29 @@
         self.system.store.forget_history()
         return True
 
+    def restore_copy(self):
+        """The store is away for a moment and comes back from an older copy."""
+        store = self.system.store
+        store.outage_status = 503
+
+        def come_back():
+            store.outage_status = None
+            store.restore(self.duration(COPY_AGE_S))
+            for key in store.lost_keys():
+                self.disturb("store", self.duration(REWRITE_S), lambda key=key: rewrite(key))
+            self.later(EXPIRY_S, expire)
+
+        def rewrite(key):
+            if key in store.acknowledged:
+                store.put(key, store.acknowledged[key])
+
+        def expire():
+            for key in store.outdated_keys():
+                store.remove(key)
+
+        self.disturb("store", self.duration((0.05, 1.5)), come_back)
+        return True
+
     def lapse(self):
         """A registration expires while the store is down, and is written again 1 s after."""
         upstream = self.reserve(self.system.faultable_upstreams())
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -24,6 +24,10 @@
   /// The store cannot be reached.
   StoreLost,
   StoreRegained,
+  /// The store came back from an older copy.
+  StoreRestored,
+  /// The restored store has an older registration than what was known.
+  RegistrationOutdated,
   /// A snapshot was loaded from the store.
   SnapshotTaken,
   ConfigurationApplied,
@@ -45,7 +49,7 @@
   LinesSuppressed
 };
 
-constexpr size_t LogEventCount = 20;
+constexpr size_t LogEventCount = 22;
 
 std::string_view nameOf(LogEvent Value);
 
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -33,6 +33,15 @@
 // A metrics connection that is idle for this long is closed.
 constexpr Duration ReportIdleTimeout = std::chrono::seconds(10);
 
+// The store removes the registration of an upstream that did not renew it for
+// three periods, and needs some time to notice.
+constexpr int PeriodsUntilRemoval = 3;
+constexpr Duration RemovalDelay = std::chrono::seconds(1);
+
+Duration registrationLifetime(const ForwarderSettings &Settings) {
+  return Settings.RegistrationPeriod * PeriodsUntilRemoval + RemovalDelay;
+}
+
 } // namespace
 
 struct Forwarder::Impl {
@@ -107,12 +116,16 @@
                   logDecision(Packet, Decision);
                 }}),
       UpdateApplier(this->Protocol.DecodeItem, TimeSource, Log, Routes,
-                    Upstreams),
+                    Upstreams, registrationLifetime(this->Settings)),
       Follower(Loop, this->Settings, this->Protocol.Store, TimeSource, Log,
-               [this](const StoreSync::Update &Update) {
-                 UpdateApplier.apply(Update);
-                 startReceiving();
-               }),
+               {[this](const StoreSync::Update &Update) {
+                  UpdateApplier.apply(Update);
+                  startReceiving();
+                },
+                [this] { return Routes.version(); },
+                [this](const StoreItem &Known, const StoreItem *Restored) {
+                  return UpdateApplier.supersedes(Known, Restored);
+                }}),
       Checks(Loop, this->Settings.Policy.Checks.UseReference,
              [this](UpstreamId Id, bool IsAccepting) {
                onCheckResult(Id, IsAccepting);
@@ -274,6 +287,7 @@
 void Forwarder::Impl::maintain() {
   TimeSource.refresh();
   Upstreams.recordStoreSync(Follower.sync().confirmedAt());
+  UpdateApplier.applyDue();
   if (TimeSource.now() - LastExpiry >= ExpiryPeriod) {
     LastExpiry = TimeSource.now();
     Steering.sweep();
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -120,6 +120,9 @@
   Out.gauge("indigopoint_store_age_seconds",
             "Since the store last confirmed what is known.", {},
             secondsOf(View.Follower.dataAge()));
+  Out.counter("indigopoint_store_restorations_total",
+              "Times that the store came back from an older copy.", {},
+              View.Follower.restorations());
   Out.gauge("indigopoint_store_failures", "Failed calls in a row.", {},
             View.Follower.sync().failures());
   Out.gauge("indigopoint_peers", "Other instances heard of lately.", {},
@@ -159,7 +162,9 @@
       {"ready", View.Ready},
       {"configuration", View.Routes.version().value()},
       {"routes", View.Routes.size()},
-      {"revision", View.Follower.sync().revision()},
+      {"era", View.Follower.sync().position().Era},
+      {"revision", View.Follower.sync().position().Revision},
+      {"storeRestorations", View.Follower.restorations()},
       {"storeAgeMs", millisecondsOf(View.Follower.dataAge())},
       {"storeFailures", View.Follower.sync().failures()},
       {"peers", View.Follower.peerCount()},
--- a/src/forwarder_settings.cpp
+++ b/src/forwarder_settings.cpp
@@ -11,6 +11,8 @@
 constexpr uint64_t MinStoreAgeMs = 1500;
 constexpr uint64_t MinChangeBoundMs = 1000;
 constexpr uint64_t MaxStoreAgeMs = 30'000;
+constexpr uint64_t MinRegistrationPeriodMs = 50;
+constexpr uint64_t MaxRegistrationPeriodMs = 600'000;
 constexpr uint32_t MaxLogLines = 100'000;
 constexpr uint32_t MaxLinkMbps = 10'000'000;
 constexpr uint32_t MaxStopLimitS = 600;
@@ -35,6 +37,8 @@
                             MinStoreAgeMs, MaxStoreAgeMs);
         Reader.milliseconds("changeBoundMs", Settings.ChangeBound,
                             MinChangeBoundMs, MaxStoreAgeMs);
+        Reader.milliseconds("registrationPeriodMs", Settings.RegistrationPeriod,
+                            MinRegistrationPeriodMs, MaxRegistrationPeriodMs);
         Reader.wholeNumber("logLinesPerSecond", Settings.LogLinesPerSecond,
                            MaxLogLines);
         Reader.wholeNumber("linkMbps", Settings.LinkMbps, MaxLinkMbps);
--- a/src/forwarder_settings.h
+++ b/src/forwarder_settings.h
@@ -30,6 +30,8 @@
   /// Maximum time from the acknowledgement of a change by the store until this
   /// instance applies the change.
   Duration ChangeBound = std::chrono::seconds(3);
+  /// How often an upstream renews its registration.
+  Duration RegistrationPeriod = std::chrono::milliseconds(1200);
   /// Speed of the machine's network link. Instances with faster links read the
   /// store on behalf of others.
   uint32_t LinkMbps = 0;
--- a/src/gen/protocol_types.cpp
+++ b/src/gen/protocol_types.cpp
@@ -2254,6 +2254,18 @@
   this->peers = val;
 }
 
+void PeerState::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void PeerState::__set_packedRetainedItems(const std::string& val) {
+  this->packedRetainedItems = val;
+}
+
+void PeerState::__set_unpackedRetainedBytes(const int32_t val) {
+  this->unpackedRetainedBytes = val;
+}
+
 void swap(PeerState &a, PeerState &b) {
   using ::std::swap;
   swap(a.revision, b.revision);
@@ -2262,6 +2274,9 @@
   swap(a.packedItems, b.packedItems);
   swap(a.unpackedBytes, b.unpackedBytes);
   swap(a.peers, b.peers);
+  swap(a.era, b.era);
+  swap(a.packedRetainedItems, b.packedRetainedItems);
+  swap(a.unpackedRetainedBytes, b.unpackedRetainedBytes);
   swap(a.__isset, b.__isset);
 }
 
@@ -2272,6 +2287,9 @@
   packedItems = other208.packedItems;
   unpackedBytes = other208.unpackedBytes;
   peers = other208.peers;
+  era = other208.era;
+  packedRetainedItems = other208.packedRetainedItems;
+  unpackedRetainedBytes = other208.unpackedRetainedBytes;
   __isset = other208.__isset;
 }
 PeerState::PeerState(PeerState&& other209) noexcept {
@@ -2281,6 +2299,9 @@
   packedItems = std::move(other209.packedItems);
   unpackedBytes = other209.unpackedBytes;
   peers = std::move(other209.peers);
+  era = other209.era;
+  packedRetainedItems = std::move(other209.packedRetainedItems);
+  unpackedRetainedBytes = other209.unpackedRetainedBytes;
   __isset = other209.__isset;
 }
 PeerState& PeerState::operator=(const PeerState& other210) {
@@ -2290,6 +2311,9 @@
   packedItems = other210.packedItems;
   unpackedBytes = other210.unpackedBytes;
   peers = other210.peers;
+  era = other210.era;
+  packedRetainedItems = other210.packedRetainedItems;
+  unpackedRetainedBytes = other210.unpackedRetainedBytes;
   __isset = other210.__isset;
   return *this;
 }
@@ -2300,6 +2324,9 @@
   packedItems = std::move(other211.packedItems);
   unpackedBytes = other211.unpackedBytes;
   peers = std::move(other211.peers);
+  era = other211.era;
+  packedRetainedItems = std::move(other211.packedRetainedItems);
+  unpackedRetainedBytes = other211.unpackedRetainedBytes;
   __isset = other211.__isset;
   return *this;
 }
--- a/src/gen/protocol_types.h
+++ b/src/gen/protocol_types.h
@@ -2478,13 +2478,16 @@
 std::ostream& operator<<(std::ostream& out, const PeerItems& obj);
 
 typedef struct _PeerState__isset {
-  _PeerState__isset() : revision(false), age(false), complete(false), packedItems(false), unpackedBytes(false), peers(false) {}
+  _PeerState__isset() : revision(false), age(false), complete(false), packedItems(false), unpackedBytes(false), peers(false), era(false), packedRetainedItems(false), unpackedRetainedBytes(false) {}
   bool revision :1;
   bool age :1;
   bool complete :1;
   bool packedItems :1;
   bool unpackedBytes :1;
   bool peers :1;
+  bool era :1;
+  bool packedRetainedItems :1;
+  bool unpackedRetainedBytes :1;
 } _PeerState__isset;
 
 class PeerState {
@@ -2499,7 +2502,10 @@
               age(0),
               complete(0),
               packedItems(),
-              unpackedBytes(0) {
+              unpackedBytes(0),
+              era(0),
+              packedRetainedItems(),
+              unpackedRetainedBytes(0) {
   }
 
   virtual ~PeerState() noexcept;
@@ -2509,6 +2515,9 @@
   std::string packedItems;
   int32_t unpackedBytes;
   std::vector<PeerEntry>  peers;
+  int64_t era;
+  std::string packedRetainedItems;
+  int32_t unpackedRetainedBytes;
 
   _PeerState__isset __isset;
 
@@ -2524,6 +2533,12 @@
 
   void __set_peers(const std::vector<PeerEntry> & val);
 
+  void __set_era(const int64_t val);
+
+  void __set_packedRetainedItems(const std::string& val);
+
+  void __set_unpackedRetainedBytes(const int32_t val);
+
   bool operator == (const PeerState & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -2538,6 +2553,12 @@
       return false;
     if (!(peers == rhs.peers))
       return false;
+    if (!(era == rhs.era))
+      return false;
+    if (!(packedRetainedItems == rhs.packedRetainedItems))
+      return false;
+    if (!(unpackedRetainedBytes == rhs.unpackedRetainedBytes))
+      return false;
     return true;
   }
   bool operator != (const PeerState &rhs) const {
--- a/src/gen/protocol_types.tcc
+++ b/src/gen/protocol_types.tcc
@@ -3870,6 +3870,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packedRetainedItems);
+          this->__isset.packedRetainedItems = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unpackedRetainedBytes);
+          this->__isset.unpackedRetainedBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3920,6 +3944,18 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("packedRetainedItems", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->packedRetainedItems);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unpackedRetainedBytes", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->unpackedRetainedBytes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -88,19 +88,24 @@
   return true;
 }
 
-bool unpackItems(const wire::PeerState &State, wire::PeerItems &Out) {
-  if (State.packedItems.empty())
+bool unpackItems(const std::string &Bytes, int32_t UnpackedBytes,
+                 std::vector<StoreItem> &Out) {
+  if (Bytes.empty())
     return true;
-  if (State.unpackedBytes <= 0 || State.unpackedBytes > MaxUncompressedBytes)
+  if (UnpackedBytes <= 0 || UnpackedBytes > MaxUncompressedBytes)
     return false;
-  std::string UncompressedBytes(static_cast<size_t>(State.unpackedBytes), '\0');
+  std::string UncompressedBytes(static_cast<size_t>(UnpackedBytes), '\0');
   uLongf Length = UncompressedBytes.size();
   const int Status =
       uncompress(reinterpret_cast<Bytef *>(UncompressedBytes.data()), &Length,
-                 reinterpret_cast<const Bytef *>(State.packedItems.data()),
-                 State.packedItems.size());
-  return Status == Z_OK && Length == UncompressedBytes.size() &&
-         read(UncompressedBytes, Out);
+                 reinterpret_cast<const Bytef *>(Bytes.data()), Bytes.size());
+  wire::PeerItems Content;
+  if (Status != Z_OK || Length != UncompressedBytes.size() ||
+      !read(UncompressedBytes, Content))
+    return false;
+  for (wire::PeerItem &Item : Content.items)
+    Out.push_back(fromWire(Item));
+  return true;
 }
 
 bool isAgeValid(int64_t Age) {
@@ -111,8 +116,9 @@
 } // namespace
 
 std::string encodePeerRequest(const PeerRequest &Request) {
-  return std::string(PeerPath) +
-         "?after=" + std::to_string(Request.AfterRevision) +
+  return std::string(PeerPath) + "?era=" + std::to_string(Request.After.Era) +
+         "&after=" + std::to_string(Request.After.Revision) +
+         "&configuration=" + std::to_string(Request.Configuration.value()) +
          "&wait_ms=" + std::to_string(millisecondsOf(Request.Wait)) +
          "&from=" + encodePath(toString(Request.Sender.Address)) +
          "&zone=" + encodePath(Request.Sender.Zone) +
@@ -124,14 +130,18 @@
   PeerRequest Out;
   uint64_t WaitMs = 0;
   uint64_t LinkMbps = 0;
+  uint64_t Configuration = 0;
   const auto Address = Query.find("from");
   const auto Zone = Query.find("zone");
-  if (!readNumber(Query, "after", Out.AfterRevision) ||
+  if (!readNumber(Query, "era", Out.After.Era) ||
+      !readNumber(Query, "after", Out.After.Revision) ||
+      !readNumber(Query, "configuration", Configuration) ||
       !readNumber(Query, "wait_ms", WaitMs) || WaitMs > MaxMilliseconds ||
       !readNumber(Query, "link_mbps", LinkMbps) || LinkMbps > UINT32_MAX ||
       Address == Query.end() || Zone == Query.end() ||
       !parseEndpoint(Address->second, Out.Sender.Address))
     return std::nullopt;
+  Out.Configuration = ConfigVersion(Configuration);
   Out.Wait = std::chrono::milliseconds(WaitMs);
   Out.Sender.Zone = Zone->second;
   Out.Sender.LinkMbps = static_cast<uint32_t>(LinkMbps);
@@ -160,11 +170,15 @@
 std::string encodePeerAnswer(const PeerAnswer &Answer,
                              const PackedItems &Packed) {
   wire::PeerState State;
-  State.revision = static_cast<int64_t>(Answer.Changes.Revision);
+  State.era = static_cast<int64_t>(Answer.Changes.Position.Era);
+  State.revision = static_cast<int64_t>(Answer.Changes.Position.Revision);
   State.age = Answer.Changes.Age.count();
   State.complete = Answer.Changes.Complete;
   State.packedItems = Packed.Bytes;
   State.unpackedBytes = static_cast<int32_t>(Packed.UnpackedBytes);
+  PackedItems Retained = packItems(Answer.Changes.Retained);
+  State.packedRetainedItems = std::move(Retained.Bytes);
+  State.unpackedRetainedBytes = static_cast<int32_t>(Retained.UnpackedBytes);
   for (const PeerInfo &Peer : Answer.Peers)
     State.peers.push_back(toWire(Peer));
   return write(State);
@@ -172,17 +186,17 @@
 
 std::optional<PeerAnswer> decodePeerAnswer(const std::string &Bytes) {
   wire::PeerState State;
-  wire::PeerItems Content;
+  PeerAnswer Out;
   if (!read(Bytes, State) || !isAgeValid(State.age) ||
-      !unpackItems(State, Content))
+      !unpackItems(State.packedItems, State.unpackedBytes, Out.Changes.Items) ||
+      !unpackItems(State.packedRetainedItems, State.unpackedRetainedBytes,
+                   Out.Changes.Retained))
     return std::nullopt;
-  PeerAnswer Out;
   Out.Changes.ResultStatus = StoreResult::Status::Answered;
-  Out.Changes.Revision = static_cast<uint64_t>(State.revision);
+  Out.Changes.Position = {static_cast<uint64_t>(State.era),
+                          static_cast<uint64_t>(State.revision)};
   Out.Changes.Age = Duration(State.age);
   Out.Changes.Complete = State.complete;
-  for (wire::PeerItem &Item : Content.items)
-    Out.Changes.Items.push_back(fromWire(Item));
   for (wire::PeerEntry &Entry : State.peers)
     if (isAgeValid(Entry.age))
       Out.Peers.push_back(fromWire(Entry));
--- a/src/peer_codec.h
+++ b/src/peer_codec.h
@@ -12,8 +12,10 @@
 
 /// A request of one instance to another for changes of the store.
 struct PeerRequest {
-  /// The last revision that the sender has; 0 requests all items.
-  uint64_t AfterRevision = 0;
+  /// The last position that the sender has; revision 0 requests all items.
+  StorePosition After;
+  /// The version of the configuration that the sender has in force.
+  ConfigVersion Configuration;
   /// How long the receiver may hold the request until there are changes.
   Duration Wait{};
   /// The instance that sends the request.
@@ -44,7 +46,7 @@
 
 PackedItems packItems(const std::vector<StoreItem> &Items);
 
-/// Encodes \p Packed instead of the items in \p Answer.
+/// Encodes \p Packed instead of the items in \p Answer, except retained ones.
 std::string encodePeerAnswer(const PeerAnswer &Answer,
                              const PackedItems &Packed);
 
@@ -53,6 +55,6 @@
 
 /// The path of peer requests. It ends with the version of the format, so that
 /// instances with another format version get a 404 and read the store instead.
-constexpr const char *PeerPath = "/peer/2";
+constexpr const char *PeerPath = "/peer/3";
 
 } // namespace indigopoint
--- a/src/peer_exchange.cpp
+++ b/src/peer_exchange.cpp
@@ -18,9 +18,9 @@
 
 PeerExchange::PeerExchange(EventLoop &Loop, HttpClient &Http, PeerInfo Self,
                            PeerTable &Peers, const StoreMirror &Mirror,
-                           DataAgeHook DataAge)
+                           Hooks StateHooks)
     : Loop(Loop), Http(Http), Server(Loop), Self(std::move(Self)), Peers(Peers),
-      Mirror(Mirror), DataAge(std::move(DataAge)) {}
+      Mirror(Mirror), StateHooks(std::move(StateHooks)) {}
 
 std::error_code PeerExchange::open() {
   if (Self.Address.Port == 0)
@@ -37,8 +37,11 @@
                              const HttpServer::Respond &Respond) {
   const auto Request = decodePeerRequest(Call.Query);
   if (!Request) {
-    Respond({400, "the parameters after, wait_ms, from and zone are needed",
-             "text/plain"});
+    Respond(
+        {400,
+         "the parameters era, after, configuration, wait_ms, from, zone and "
+         "link_mbps are needed",
+         "text/plain"});
     return;
   }
   Peers.update(Request->Sender);
@@ -46,7 +49,7 @@
     Respond({503, "nothing is known of the store yet", "text/plain"});
     return;
   }
-  const bool HasChanges = Mirror.revision() > Request->AfterRevision;
+  const bool HasChanges = Mirror.position() > Request->After;
   if (HasChanges || Request->Wait == Duration() ||
       PendingRequests.size() >= MaxPendingRequests) {
     answer(*Request, Respond);
@@ -64,14 +67,14 @@
 // Most peers have the same revision, so the changes packed for one peer are
 // reused for the others.
 const PeerExchange::CompressedChanges &
-PeerExchange::changesSince(uint64_t Revision) {
-  if (CachedRevision != Mirror.revision() ||
+PeerExchange::changesSince(StorePosition Position) {
+  if (CachedPosition != Mirror.position() ||
       CachedChanges.size() >= MaxCachedChanges)
     CachedChanges.clear();
-  CachedRevision = Mirror.revision();
-  const auto [It, Inserted] = CachedChanges.try_emplace(Revision);
+  CachedPosition = Mirror.position();
+  const auto [It, Inserted] = CachedChanges.try_emplace(Position);
   if (Inserted) {
-    const auto Items = Mirror.since(Revision);
+    const auto Items = Mirror.since(Position);
     It->second = {!Items, packItems(Items ? *Items : Mirror.all())};
   }
   return It->second;
@@ -79,11 +82,13 @@
 
 void PeerExchange::answer(const PeerRequest &Request,
                           const HttpServer::Respond &Respond) {
-  const CompressedChanges &Changes = changesSince(Request.AfterRevision);
+  const CompressedChanges &Changes = changesSince(Request.After);
   PeerAnswer Answer;
-  Answer.Changes.Revision = Mirror.revision();
-  Answer.Changes.Age = DataAge();
+  Answer.Changes.Position = Mirror.position();
+  Answer.Changes.Age = StateHooks.DataAge();
   Answer.Changes.Complete = Changes.Complete;
+  if (Request.Configuration < StateHooks.Configuration())
+    Answer.Changes.Retained = Mirror.retained();
   Answer.Peers = Peers.recentPeers(Request.Sender.Zone, MaxPeerEntries);
   Answer.Peers.push_back(Self);
   Respond({200, encodePeerAnswer(Answer, Changes.Items),
@@ -97,11 +102,12 @@
     answer(Pending.Request, Pending.Respond);
 }
 
-void PeerExchange::ask(Endpoint Peer, uint64_t AfterRevision, Duration Wait,
+void PeerExchange::ask(Endpoint Peer, StorePosition After, Duration Wait,
                        Timeouts Limits, AnswerHook OnAnswer) {
   HttpCall Call;
   Call.To = Peer;
-  Call.Target = encodePeerRequest({AfterRevision, Wait, Self});
+  Call.Target =
+      encodePeerRequest({After, StateHooks.Configuration(), Wait, Self});
   Call.IdleTimeout = Limits.Idle;
   Call.Timeout = Limits.Total;
   Http.call(Call, [this, Peer,
--- a/src/peer_exchange.h
+++ b/src/peer_exchange.h
@@ -17,13 +17,17 @@
 /// over HTTP.
 class PeerExchange {
 public:
-  /// Returns how long ago the store confirmed the data of this instance.
-  using DataAgeHook = std::function<Duration()>;
   using AnswerHook = std::function<void(StoreResult)>;
 
+  struct Hooks {
+    /// Returns how long ago the store confirmed the data of this instance.
+    std::function<Duration()> DataAge;
+    /// Returns the version of the configuration in force.
+    std::function<ConfigVersion()> Configuration;
+  };
+
   PeerExchange(EventLoop &Loop, HttpClient &Http, PeerInfo Self,
-               PeerTable &Peers, const StoreMirror &Mirror,
-               DataAgeHook DataAge);
+               PeerTable &Peers, const StoreMirror &Mirror, Hooks StateHooks);
 
   /// Listens for requests of peers. Does nothing if the own address has port 0.
   std::error_code open();
@@ -36,8 +40,8 @@
 
   /// Sends a request to \p Peer. The hook gets a failed result if there is no
   /// answer.
-  void ask(Endpoint Peer, uint64_t AfterRevision, Duration Wait,
-           Timeouts Limits, AnswerHook OnAnswer);
+  void ask(Endpoint Peer, StorePosition After, Duration Wait, Timeouts Limits,
+           AnswerHook OnAnswer);
 
   /// Answers all pending requests. Called when an answer confirms the data at a
   /// later time than before (see StoreSync::confirmedAt).
@@ -56,7 +60,7 @@
     PackedItems Items;
   };
 
-  const CompressedChanges &changesSince(uint64_t Revision);
+  const CompressedChanges &changesSince(StorePosition Position);
   void onRequest(const HttpRequest &Call, const HttpServer::Respond &Respond);
   void answer(const PeerRequest &Request, const HttpServer::Respond &Respond);
   void onAnswer(Endpoint Peer, const HttpResult &Result,
@@ -68,11 +72,11 @@
   PeerInfo Self;
   PeerTable &Peers;
   const StoreMirror &Mirror;
-  DataAgeHook DataAge;
+  Hooks StateHooks;
   std::list<PendingRequest> PendingRequests;
-  /// Changes up to CachedRevision. The key is the revision that the peer has.
-  std::map<uint64_t, CompressedChanges> CachedChanges;
-  uint64_t CachedRevision = 0;
+  /// Changes up to CachedPosition. The key is the position that the peer has.
+  std::map<StorePosition, CompressedChanges> CachedChanges;
+  StorePosition CachedPosition;
 };
 
 } // namespace indigopoint
--- a/src/protocol.thrift
+++ b/src/protocol.thrift
@@ -379,4 +379,10 @@
   /* Size of packedItems before compression, in bytes. */
   5: i32 unpackedBytes
   6: list<PeerEntry> peers
+  /* Rises each time the store is restored from an older copy. */
+  7: i64 era
+  /* Items that stay in force although the restored store has older ones, in
+     the form of packedItems. */
+  8: binary packedRetainedItems
+  9: i32 unpackedRetainedBytes
 }
--- /dev/null
+++ b/src/restoration_review.cpp
@@ -0,0 +1,99 @@
+#include "restoration_review.h"
+
+#include <utility>
+
+namespace indigopoint {
+
+namespace {
+
+// A running upstream registers again within this time after the store's return.
+constexpr Duration ReRegistrationTime = std::chrono::milliseconds(2500);
+
+// Operators may write all lost versions again, one after the other. A lower
+// version than the one in force counts only if no other one follows within this
+// time; otherwise instances would go back to it for a moment.
+constexpr Duration RewriteTime = std::chrono::seconds(1);
+
+} // namespace
+
+void RestorationReview::begin(TimePoint Now) {
+  HasBegun = true;
+  MissingUntil = Now + ReRegistrationTime;
+  HoldUntil = Now + RegistrationLifetime;
+  RestoredConfigurationRevision = 0;
+  DeferredConfiguration.reset();
+}
+
+RestorationReview::Verdict
+RestorationReview::judge(const UpstreamRegistration &Restored,
+                         const Upstream *Known) {
+  if (Known == nullptr ||
+      Restored.StartedAtMs > Known->Registration.StartedAtMs)
+    return Verdict::Apply;
+  if (Restored.StartedAtMs < Known->Registration.StartedAtMs)
+    return Verdict::Ignore;
+  switch (Known->State) {
+  case UpstreamState::Ready:
+    return Verdict::Apply;
+  case UpstreamState::Draining:
+    // A draining process does not become ready again.
+    return Restored.Draining ? Verdict::Apply : Verdict::Ignore;
+  case UpstreamState::Unregistered:
+    return Verdict::Hold;
+  }
+  return Verdict::Ignore;
+}
+
+void RestorationReview::hold(HeldRegistration Registration) {
+  const UpstreamId Id = Registration.Registration.Id;
+  Held.insert_or_assign(Id, std::move(Registration));
+}
+
+void RestorationReview::release(UpstreamId Id) {
+  Held.erase(Id);
+  Missing.erase(Id);
+}
+
+void RestorationReview::setMissing(const std::vector<UpstreamId> &Ids) {
+  Missing = std::set<UpstreamId>(Ids.begin(), Ids.end());
+}
+
+std::vector<UpstreamId> RestorationReview::takeMissing(TimePoint Now) {
+  if (keepsMissingUpstreams(Now))
+    return {};
+  const std::set<UpstreamId> Ids = std::exchange(Missing, {});
+  return {Ids.begin(), Ids.end()};
+}
+
+std::vector<RestorationReview::HeldRegistration>
+RestorationReview::takeConfirmed(TimePoint Now) {
+  std::vector<HeldRegistration> Out;
+  if (Now < HoldUntil)
+    return Out;
+  for (auto &[Id, Registration] : std::exchange(Held, {}))
+    Out.push_back(std::move(Registration));
+  return Out;
+}
+
+void RestorationReview::recordRestoredConfiguration(uint64_t Revision) {
+  RestoredConfigurationRevision = Revision;
+}
+
+bool RestorationReview::isWrittenSince(uint64_t Revision) const {
+  return HasBegun && Revision > RestoredConfigurationRevision;
+}
+
+void RestorationReview::deferConfiguration(RouteConfiguration Configuration,
+                                           TimePoint Now) {
+  DeferredConfiguration = std::move(Configuration);
+  DeferredUntil = Now + RewriteTime;
+}
+
+std::optional<RouteConfiguration>
+RestorationReview::takeDeferredConfiguration(TimePoint Now) {
+  if (!DeferredConfiguration || Now < DeferredUntil)
+    return std::nullopt;
+  return std::exchange(DeferredConfiguration, std::nullopt);
+}
+
+} // namespace indigopoint
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -1,14 +1,19 @@
 #include "route_table.h"
 
+#include <algorithm>
 #include <numeric>
 #include <utility>
 
 namespace indigopoint {
 
 RouteTable::Change RouteTable::apply(RouteConfiguration NewConfiguration) {
-  Change Result;
   if (HasConfiguration && NewConfiguration.Version <= Version)
-    return Result;
+    return {};
+  return replace(std::move(NewConfiguration));
+}
+
+RouteTable::Change RouteTable::replace(RouteConfiguration NewConfiguration) {
+  Change Result;
   decltype(Routes) NewRoutes;
   for (Route &NewRoute : NewConfiguration.Routes) {
     if (Routes.count(NewRoute.Address) == 0)
@@ -25,6 +30,16 @@
   return Result;
 }
 
+bool RouteTable::hasSameContent(const RouteConfiguration &Configuration) const {
+  return Configuration.IdleTimeout == IdleTimeout &&
+         Configuration.Routes.size() == Routes.size() &&
+         std::all_of(Configuration.Routes.begin(), Configuration.Routes.end(),
+                     [this](const Route &Other) {
+                       const Route *Own = find(Other.Address);
+                       return Own != nullptr && *Own == Other;
+                     });
+}
+
 const Route *RouteTable::find(Endpoint Address) const {
   const auto It = Routes.find(Address);
   return It == Routes.end() ? nullptr : &It->second;
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -35,7 +35,7 @@
   Duration IdleTimeout = std::chrono::seconds(15);
 };
 
-/// The current routes. The version never decreases.
+/// The current routes. apply() never decreases the version.
 class RouteTable {
 public:
   /// What a new version changed, for the log.
@@ -49,6 +49,12 @@
   /// higher than the current one.
   Change apply(RouteConfiguration NewConfiguration);
 
+  /// Replaces the current routes whatever the version.
+  Change replace(RouteConfiguration NewConfiguration);
+
+  /// Whether \p Configuration has the routes and limits in force.
+  bool hasSameContent(const RouteConfiguration &Configuration) const;
+
   /// Whether a configuration has been applied since the start.
   bool isLoaded() const { return HasConfiguration; }
 
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -4,7 +4,6 @@
 
 #include "event_loop.h"
 #include "peer_exchange.h"
-#include "store_mirror.h"
 #include "sync_planner.h"
 
 namespace indigopoint {
@@ -33,13 +32,17 @@
 struct StoreFollower::Impl {
   Impl(EventLoop &Loop, const ForwarderSettings &Settings,
        StoreProtocol Protocol, EventClock &TimeSource, EventLog &Log,
-       UpdateHook OnUpdate);
+       Hooks StateHooks);
 
   void startCallIfDue();
   void schedule();
   void askStore(const StoreQuery &Query);
   void onResult(const StoreQuery &Query, StoreResult Result);
-  void logReachability(uint32_t FailuresBefore, StoreResult::Status Status);
+  void applyUpdate(const StoreSync::Update &Update);
+  void applyRetained(const StoreResult &Result);
+  void logRestoration(StorePosition PositionBefore);
+  void logReachability(uint32_t FailuresBefore, StoreResult::Status Status,
+                       const std::string &Problem);
   void contactPeer();
   void scheduleContact();
   Duration dataAge() const { return TimeSource.now() - Sync.confirmedAt(); }
@@ -49,7 +52,7 @@
   StoreProtocol Protocol;
   EventClock &TimeSource;
   EventLog &Log;
-  UpdateHook OnUpdate;
+  Hooks StateHooks;
   RandomSource Random{randomBits()};
   HttpClient Http;
   PeerTable Peers;
@@ -61,21 +64,24 @@
   LoopEvent ContactTimer;
   Duration ContactPeriod = FirstContactPeriod;
   Calls CallCounts;
+  uint64_t Restorations = 0;
 };
 
 StoreFollower::Impl::Impl(EventLoop &Loop, const ForwarderSettings &Settings,
                           StoreProtocol Protocol, EventClock &TimeSource,
-                          EventLog &Log, UpdateHook OnUpdate)
+                          EventLog &Log, Hooks StateHooks)
     : Loop(Loop), Store(Settings.Store), Protocol(std::move(Protocol)),
-      TimeSource(TimeSource), Log(Log), OnUpdate(std::move(OnUpdate)),
+      TimeSource(TimeSource), Log(Log), StateHooks(std::move(StateHooks)),
       Http(Loop),
       Peers(ownPeerInfo(Settings), Settings.Seeds, TimeSource, Random),
       Sync(TimeSource, Random, delayAfterChange(Settings)),
       Planner({Settings.PeerAddress, Settings.MaxStoreAge, Settings.ChangeBound,
                Settings.Policy.StoreSharing},
               TimeSource, Peers),
+      Mirror(this->StateHooks.Supersedes),
       Exchange(Loop, Http, ownPeerInfo(Settings), Peers, Mirror,
-               [this] { return dataAge(); }) {}
+               {[this] { return dataAge(); },
+                [this] { return this->StateHooks.Configuration(); }}) {}
 
 void StoreFollower::Impl::startCallIfDue() {
   TimeSource.refresh();
@@ -86,9 +92,8 @@
     askStore(Query);
     return;
   }
-  const uint64_t AfterRevision =
-      Query.QueryKind == StoreQuery::Kind::Watch ? Query.AfterRevision : 0;
-  Exchange.ask(*Query.Peer, AfterRevision, Query.Wait,
+  const StorePosition After{Sync.position().Era, Query.AfterRevision};
+  Exchange.ask(*Query.Peer, After, Query.Wait,
                {Query.Timeout, Query.IdleTimeout},
                [this, Query](StoreResult Result) {
                  onResult(Query, std::move(Result));
@@ -110,28 +115,59 @@
   TimeSource.refresh();
   const uint32_t FailuresBefore = Sync.failures();
   const TimePoint ConfirmedBefore = Sync.confirmedAt();
+  const StorePosition PositionBefore = Sync.position();
   const StoreResult::Status Status = Result.ResultStatus;
   const bool Answered = Status == StoreResult::Status::Answered;
   ++(Query.Peer ? (Answered ? CallCounts.Peer : CallCounts.PeerFailed)
                 : (Answered ? CallCounts.Store : CallCounts.StoreFailed));
+  StoreResult RetainedItems;
+  RetainedItems.Position = Result.Position;
+  RetainedItems.Retained = std::move(Result.Retained);
+  const std::string Problem = Result.Problem;
   const auto Update = Sync.onResult(std::move(Result));
-  logReachability(FailuresBefore, Status);
+  logReachability(FailuresBefore, Status, Problem);
+  logRestoration(PositionBefore);
   if (Update) {
-    Mirror.apply(*Update, Sync.revision());
+    applyUpdate(*Update);
     if (Update->endsSnapshot())
       Log.write(LogEvent::SnapshotTaken, [&] {
         return EventLog::Fields{
             {"items", Mirror.size()},
-            {"revision", Sync.revision()},
+            {"era", Sync.position().Era},
+            {"revision", Sync.position().Revision},
             {"source", Query.Peer ? toString(*Query.Peer) : "store"}};
       });
-    OnUpdate(*Update);
   }
+  applyRetained(RetainedItems);
   if (Sync.confirmedAt() > ConfirmedBefore)
     Exchange.answerPendingRequests();
   schedule();
 }
 
+void StoreFollower::Impl::applyUpdate(const StoreSync::Update &Update) {
+  Mirror.apply(Update, Sync.position());
+  StateHooks.OnUpdate(Update);
+}
+
+void StoreFollower::Impl::applyRetained(const StoreResult &Result) {
+  if (!Result.Retained.empty() && Result.Position.Era == Sync.position().Era)
+    applyUpdate({StoreSync::Update::Content::Retained, Result.Retained});
+}
+
+// The first era after the start is no restoration.
+void StoreFollower::Impl::logRestoration(StorePosition PositionBefore) {
+  if (Sync.position().Era == PositionBefore.Era ||
+      PositionBefore == StorePosition())
+    return;
+  ++Restorations;
+  Log.write(LogEvent::StoreRestored, [&] {
+    return EventLog::Fields{{"eraBefore", PositionBefore.Era},
+                            {"revisionBefore", PositionBefore.Revision},
+                            {"era", Sync.position().Era},
+                            {"revision", Sync.position().Revision}};
+  });
+}
+
 void StoreFollower::Impl::schedule() {
   const Duration Delay =
       std::max(Duration(), Sync.nextCallAt() - TimeSource.now());
@@ -142,24 +178,28 @@
 }
 
 void StoreFollower::Impl::logReachability(uint32_t FailuresBefore,
-                                          StoreResult::Status Status) {
+                                          StoreResult::Status Status,
+                                          const std::string &Problem) {
   const bool BecameUnreachable = FailuresBefore == 0 && Sync.failures() == 1;
   const bool BecameReachable = FailuresBefore > 0 && Sync.failures() == 0;
   if (BecameUnreachable || BecameReachable)
     Log.write(
         BecameUnreachable ? LogEvent::StoreLost : LogEvent::StoreRegained, [&] {
-          return EventLog::Fields{{"result", nameOf(Status)},
-                                  {"failures", FailuresBefore},
-                                  {"revision", Sync.revision()},
-                                  {"storeAgeMs", millisecondsOf(dataAge())}};
+          EventLog::Fields Line = {{"result", nameOf(Status)},
+                                   {"failures", FailuresBefore},
+                                   {"revision", Sync.position().Revision},
+                                   {"storeAgeMs", millisecondsOf(dataAge())}};
+          if (!Problem.empty())
+            Line["problem"] = Problem;
+          return Line;
         });
 }
 
 void StoreFollower::Impl::contactPeer() {
   TimeSource.refresh();
   if (const auto Peer = Peers.nextContact())
-    Exchange.ask(*Peer, Sync.revision(), Duration(), {ContactTimeout},
-                 [](const StoreResult &) {});
+    Exchange.ask(*Peer, Sync.position(), Duration(), {ContactTimeout},
+                 [this](const StoreResult &Result) { applyRetained(Result); });
   // Makes a due call whose timer did not fire.
   startCallIfDue();
   scheduleContact();
@@ -174,9 +214,9 @@
 
 StoreFollower::StoreFollower(EventLoop &Loop, const ForwarderSettings &Settings,
                              StoreProtocol Protocol, EventClock &TimeSource,
-                             EventLog &Log, UpdateHook OnUpdate)
+                             EventLog &Log, Hooks StateHooks)
     : PImpl(std::make_unique<Impl>(Loop, Settings, std::move(Protocol),
-                                   TimeSource, Log, std::move(OnUpdate))) {}
+                                   TimeSource, Log, std::move(StateHooks))) {}
 
 StoreFollower::~StoreFollower() = default;
 
@@ -203,10 +243,13 @@
   return PImpl->CallCounts;
 }
 
+uint64_t StoreFollower::restorations() const { return PImpl->Restorations; }
+
 size_t StoreFollower::peerCount() const { return PImpl->Peers.size(); }
 
 EventLog::Fields StoreFollower::storeStateFields() const {
-  return {{"revision", PImpl->Sync.revision()},
+  return {{"era", PImpl->Sync.position().Era},
+          {"revision", PImpl->Sync.position().Revision},
           {"storeAgeMs", millisecondsOf(PImpl->dataAge())}};
 }
 
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -9,6 +9,7 @@
 #include "http_client.h"
 #include "random_source.h"
 #include "steady_clock.h"
+#include "store_mirror.h"
 #include "store_sync.h"
 
 namespace indigopoint {
@@ -26,11 +27,16 @@
 /// forwards them to instances that request them.
 class StoreFollower {
 public:
-  using UpdateHook = std::function<void(const StoreSync::Update &)>;
+  struct Hooks {
+    std::function<void(const StoreSync::Update &)> OnUpdate;
+    /// Returns the version of the configuration in force.
+    std::function<ConfigVersion()> Configuration;
+    StoreMirror::SupersedesHook Supersedes;
+  };
 
   StoreFollower(EventLoop &Loop, const ForwarderSettings &Settings,
                 StoreProtocol Protocol, EventClock &TimeSource, EventLog &Log,
-                UpdateHook OnUpdate);
+                Hooks StateHooks);
   ~StoreFollower();
 
   /// Listens for peers and starts to follow the store. Returns an error
@@ -57,7 +63,11 @@
   };
   const Calls &calls() const;
 
-  /// Returns the revision and the age of the current data, for the log.
+  /// Returns how often the store was restored from an older copy since the
+  /// start.
+  uint64_t restorations() const;
+
+  /// Returns the position and the age of the current data, for the log.
   EventLog::Fields storeStateFields() const;
 
 private:
--- a/src/store_mirror.cpp
+++ b/src/store_mirror.cpp
@@ -1,6 +1,7 @@
 #include "store_mirror.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace indigopoint {
 
@@ -12,31 +13,52 @@
 
 } // namespace
 
-void StoreMirror::apply(const StoreSync::Update &Update, uint64_t NewRevision) {
+void StoreMirror::apply(const StoreSync::Update &Update,
+                        StorePosition NewPosition) {
   if (Update.startsSnapshot())
-    SnapshotKeys.clear();
-  for (const StoreItem &Item : Update.Items) {
-    Items[Item.Key] = Item;
-    if (Update.isSnapshotOrPage())
-      SnapshotKeys.insert(Item.Key);
-  }
+    SnapshotItems.clear();
+  ItemMap &Target = Update.ContentKind == StoreSync::Update::Content::Retained
+                        ? RetainedItems
+                        : (Update.isSnapshotOrPage() ? SnapshotItems : Items);
+  for (const StoreItem &Item : Update.Items)
+    Target[Item.Key] = Item;
   if (Update.endsSnapshot())
-    finishSnapshot(NewRevision);
-  else if (Update.isSnapshotOrPage())
+    finishSnapshot(Update.IsFromRestoredStore, NewPosition);
+  if (Update.ContentKind != StoreSync::Update::Content::Changes)
     return;
-  Revision = std::max(Revision, NewRevision);
+  for (const StoreItem &Item : Update.Items)
+    RetainedItems.erase(Item.Key);
+  Position = std::max(Position, NewPosition);
   expireDeletions();
 }
 
-void StoreMirror::finishSnapshot(uint64_t NewRevision) {
-  std::erase_if(Items, [this](const auto &Entry) {
-    return SnapshotKeys.count(Entry.first) == 0;
-  });
-  SnapshotKeys.clear();
-  BaseRevision = NewRevision;
+// Another instance must not get items of the new era as changes of the previous
+// one, so all items are replaced at once.
+void StoreMirror::finishSnapshot(bool IsFromRestoredStore,
+                                 StorePosition NewPosition) {
+  ItemMap KnownItems = std::exchange(Items, std::exchange(SnapshotItems, {}));
+  if (IsFromRestoredStore && Supersedes) {
+    KnownItems.merge(RetainedItems);
+    retain(KnownItems);
+  }
+  // The snapshot may contain fewer changes than this instance has already seen.
+  if (NewPosition > Position)
+    Position = NewPosition;
+  BaseRevision = NewPosition.Revision;
   Loaded = true;
 }
 
+void StoreMirror::retain(const ItemMap &KnownItems) {
+  RetainedItems.clear();
+  for (const auto &[Key, Known] : KnownItems) {
+    const auto Restored = Items.find(Key);
+    if (!Known.Deleted &&
+        Supersedes(Known,
+                   Restored == Items.end() ? nullptr : &Restored->second))
+      RetainedItems.emplace(Key, Known);
+  }
+}
+
 void StoreMirror::expireDeletions() {
   std::vector<uint64_t> Deletions;
   for (const auto &[Key, Item] : Items)
@@ -53,16 +75,24 @@
   });
 }
 
-std::optional<std::vector<StoreItem>> StoreMirror::since(uint64_t After) const {
-  if (!Loaded || After < BaseRevision)
+std::optional<std::vector<StoreItem>>
+StoreMirror::since(StorePosition After) const {
+  if (!Loaded || After.Era != Position.Era || After.Revision < BaseRevision)
     return std::nullopt;
   std::vector<StoreItem> Out;
   for (const auto &[Key, Item] : Items)
-    if (Item.Revision > After)
+    if (Item.Revision > After.Revision)
       Out.push_back(Item);
   return Out;
 }
 
+std::vector<StoreItem> StoreMirror::retained() const {
+  std::vector<StoreItem> Out;
+  for (const auto &[Key, Item] : RetainedItems)
+    Out.push_back(Item);
+  return Out;
+}
+
 std::vector<StoreItem> StoreMirror::all() const {
   std::vector<StoreItem> Out;
   for (const auto &[Key, Item] : Items)
--- a/src/store_mirror.h
+++ b/src/store_mirror.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -13,35 +13,53 @@
 /// Keeps a copy of the items in the store, to send them to other instances.
 class StoreMirror {
 public:
-  /// Applies an update that ends at \p Revision. The revision does not change
-  /// until the last page of a snapshot has been applied.
-  void apply(const StoreSync::Update &Update, uint64_t Revision);
+  /// Returns whether a known item stays in force although the restored store
+  /// has \p Restored in its place, or no item if that is null.
+  using SupersedesHook =
+      std::function<bool(const StoreItem &Known, const StoreItem *Restored)>;
+
+  explicit StoreMirror(SupersedesHook Supersedes = {})
+      : Supersedes(std::move(Supersedes)) {}
+
+  /// Applies an update that ends at \p Position. The items and the position do
+  /// not change until the last page of a snapshot has been applied.
+  void apply(const StoreSync::Update &Update, StorePosition Position);
 
   bool isLoaded() const { return Loaded; }
-  uint64_t revision() const { return Revision; }
+  StorePosition position() const { return Position; }
 
-  /// Returns the changes after revision \p After in the order of their keys.
-  /// Returns nothing if some of the changes are no longer available.
-  std::optional<std::vector<StoreItem>> since(uint64_t After) const;
+  /// Returns the changes after \p After in the order of their keys. Returns
+  /// nothing if some of the changes are no longer available.
+  std::optional<std::vector<StoreItem>> since(StorePosition After) const;
 
   /// Returns all items that are not deleted.
   std::vector<StoreItem> all() const;
 
+  /// Returns items of an earlier era that stay in force although the restored
+  /// store has older ones.
+  std::vector<StoreItem> retained() const;
+
   /// Returns the number of items, including deleted ones.
   size_t size() const { return Items.size(); }
 
 private:
-  void finishSnapshot(uint64_t NewRevision);
+  using ItemMap = std::map<std::string, StoreItem>;
+
+  void finishSnapshot(bool IsFromRestoredStore, StorePosition NewPosition);
+  /// Keeps the items of \p KnownItems that the restored items do not replace.
+  void retain(const ItemMap &KnownItems);
   void expireDeletions();
 
+  SupersedesHook Supersedes;
   bool Loaded = false;
-  uint64_t Revision = 0;
+  StorePosition Position;
   /// Deletions up to this revision are not available.
   uint64_t BaseRevision = 0;
   /// Includes deleted items.
-  std::map<std::string, StoreItem> Items;
-  /// The keys of the snapshot that is being read.
-  std::set<std::string> SnapshotKeys;
+  ItemMap Items;
+  /// The items of the snapshot that is being read.
+  ItemMap SnapshotItems;
+  ItemMap RetainedItems;
 };
 
 } // namespace indigopoint
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -59,7 +59,7 @@
     return Query;
   }
   Query.QueryKind = StoreQuery::Kind::Watch;
-  Query.AfterRevision = Revision;
+  Query.AfterRevision = Position.Revision;
   // After a failure, a watch without wait detects sooner that the store is
   // reachable again.
   if (Failures == 0 || IsPeerCall)
@@ -74,45 +74,78 @@
   if (IsPeerCall)
     return onPeerAnswer(Result);
   PeerCallsInRow = 0;
-  switch (Result.ResultStatus) {
-  case StoreResult::Status::Answered:
-    Failures = 0;
-    ConfirmedAt = TimeSource.now();
-    return NeedsSnapshot ? onPage(Result) : onChanges(Result);
-  case StoreResult::Status::HistoryLost:
-    Failures = 0;
-    NeedsSnapshot = true;
-    LastKey.clear();
+  const bool IsAnswered = Result.ResultStatus == StoreResult::Status::Answered;
+  const bool IsHistoryLost =
+      Result.ResultStatus == StoreResult::Status::HistoryLost;
+  if ((!IsAnswered && !IsHistoryLost) || Result.Position.Era < minEra(Result)) {
+    fail();
+    return std::nullopt;
+  }
+  Failures = 0;
+  if (Result.Position.Era > Position.Era) {
+    // The first page of a snapshot is valid in any era. Any other answer
+    // belongs to a snapshot or a watch of the previous era.
+    const bool IsUsable = IsAnswered && NeedsSnapshot && LastKey.empty();
+    startNewEra(Result.Position.Era);
+    if (!IsUsable)
+      return std::nullopt;
+  }
+  if (IsHistoryLost) {
+    restartSnapshot();
     return std::nullopt;
-  case StoreResult::Status::Refused:
-  case StoreResult::Status::Failed:
-    break;
   }
-  fail();
-  return std::nullopt;
+  ConfirmedAt = TimeSource.now();
+  return NeedsSnapshot ? onPage(Result) : onChanges(Result);
+}
+
+// An answer without an era comes from a store that does not report eras, and
+// belongs to the current one. An answer of an earlier era was delayed.
+uint64_t StoreSync::minEra(const StoreResult &Result) const {
+  return Result.Position.Era == 0 ? 0 : Position.Era;
 }
 
-// An answer with an older revision than this instance has is ignored.
+void StoreSync::startNewEra(uint64_t Era) {
+  Position = {Era, 0};
+  IsReadingRestoredStore = HasItems;
+  restartSnapshot();
+}
+
+void StoreSync::restartSnapshot() {
+  NeedsSnapshot = true;
+  LastKey.clear();
+}
+
+void StoreSync::finishSnapshot() {
+  NeedsSnapshot = false;
+  SnapshotLoaded = true;
+  IsReadingRestoredStore = false;
+  LastKey.clear();
+}
+
+// An answer with an older position than this instance has is ignored.
 std::optional<StoreSync::Update> StoreSync::onPeerAnswer(StoreResult &Result) {
   if (Failures > 0)
     NextCallTime += PeerCallsInRow++ == 0 ? DelayAfterPeerCall : retryDelay();
+  const bool IsNewEra = Result.Position.Era > Position.Era;
   if (Result.ResultStatus != StoreResult::Status::Answered ||
-      Result.Revision < Revision || (NeedsSnapshot && !Result.Complete))
+      Result.Position < Position ||
+      ((NeedsSnapshot || IsNewEra) && !Result.Complete))
     return std::nullopt;
-  Revision = Result.Revision;
+  if (IsNewEra)
+    startNewEra(Result.Position.Era);
+  Position = Result.Position;
   ConfirmedAt = std::max(ConfirmedAt, TimeSource.now() - Result.Age);
   if (IsFollowingPeer && ConfirmedAt > LastFailure)
     Failures = 0;
-  if (Result.Complete) {
-    NeedsSnapshot = false;
-    SnapshotLoaded = true;
-    LastKey.clear();
-  } else if (Result.Items.empty()) {
+  Update Out{Result.Complete ? Update::Content::Snapshot
+                             : Update::Content::Changes,
+             std::move(Result.Items), IsReadingRestoredStore};
+  if (Result.Complete)
+    finishSnapshot();
+  else if (Out.Items.empty())
     return std::nullopt;
-  }
-  return Update{Result.Complete ? Update::Content::Snapshot
-                                : Update::Content::Changes,
-                std::move(Result.Items)};
+  HasItems = true;
+  return Out;
 }
 
 // Random jitter spreads the retries of instances that failed at the same time.
@@ -134,12 +167,7 @@
   const bool IsFirst = LastKey.empty();
   const bool IsLast = !Result.MorePages || Result.Items.empty();
   if (IsFirst)
-    Revision = Result.Revision;
-  LastKey = IsLast ? "" : Result.Items.back().Key;
-  if (IsLast) {
-    NeedsSnapshot = false;
-    SnapshotLoaded = true;
-  }
+    Position.Revision = Result.Position.Revision;
   // Each page is passed on immediately: reading all pages can take seconds when
   // many instances start at the same time, and the first pages are sufficient
   // to serve flows.
@@ -148,11 +176,17 @@
     PageKind = IsLast ? Update::Content::Snapshot : Update::Content::FirstPage;
   else if (IsLast)
     PageKind = Update::Content::LastPage;
-  return Update{PageKind, std::move(Result.Items)};
+  Update Out{PageKind, std::move(Result.Items), IsReadingRestoredStore};
+  HasItems = true;
+  if (IsLast)
+    finishSnapshot();
+  else
+    LastKey = Out.Items.back().Key;
+  return Out;
 }
 
 std::optional<StoreSync::Update> StoreSync::onChanges(StoreResult &Result) {
-  Revision = std::max(Revision, Result.Revision);
+  Position.Revision = std::max(Position.Revision, Result.Position.Revision);
   if (Result.Items.empty())
     return std::nullopt;
   NextCallTime += DelayAfterChange;
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -11,6 +11,16 @@
 
 namespace indigopoint {
 
+/// A point in the history of the store. The era rises each time the store is
+/// restored from an older copy; revisions are then given out again, so they can
+/// only be compared within an era.
+struct StorePosition {
+  /// 0 if the store does not report eras.
+  uint64_t Era = 0;
+  uint64_t Revision = 0;
+  auto operator<=>(const StorePosition &) const = default;
+};
+
 /// One key of the store, as returned by a snapshot or a watch.
 struct StoreItem {
   std::string Key;
@@ -67,14 +77,19 @@
 
   Status ResultStatus = Status::Failed;
   std::vector<StoreItem> Items;
-  /// The revision of the store when it answered.
-  uint64_t Revision = 0;
+  /// The position of the store when it answered.
+  StorePosition Position;
   /// More pages follow.
   bool MorePages = false;
   /// Whether a peer sent all items of the store (a snapshot), not only changes.
   bool Complete = false;
   /// Time since the store last confirmed the peer's data.
   Duration Age{};
+  /// Items that a peer keeps in force although the restored store has older
+  /// ones.
+  std::vector<StoreItem> Retained;
+  /// Why an answer could not be used; empty if that is clear from the status.
+  std::string Problem;
 };
 
 std::string_view nameOf(StoreResult::Status Value);
@@ -95,11 +110,17 @@
       /// contained are deleted.
       FirstPage,
       NextPage,
-      LastPage
+      LastPage,
+      /// Items that a peer keeps in force although the restored store has older
+      /// ones.
+      Retained
     };
 
     /// Returns whether the items are a whole snapshot or one page of it.
-    bool isSnapshotOrPage() const { return ContentKind != Content::Changes; }
+    bool isSnapshotOrPage() const {
+      return ContentKind != Content::Changes &&
+             ContentKind != Content::Retained;
+    }
     bool startsSnapshot() const {
       return ContentKind == Content::Snapshot ||
              ContentKind == Content::FirstPage;
@@ -111,6 +132,9 @@
 
     Content ContentKind = Content::Changes;
     std::vector<StoreItem> Items;
+    /// Whether the items belong to the first snapshot after the store was
+    /// restored: they may be older than what was known before.
+    bool IsFromRestoredStore = false;
   };
 
   /// \p DelayAfterChange is the time from a change to the next call.
@@ -142,9 +166,14 @@
   /// or to the peer that sent the data.
   TimePoint confirmedAt() const { return ConfirmedAt; }
 
-  uint64_t revision() const { return Revision; }
+  StorePosition position() const { return Position; }
 
 private:
+  /// The lowest era of which an answer like \p Result is used.
+  uint64_t minEra(const StoreResult &Result) const;
+  void startNewEra(uint64_t Era);
+  void restartSnapshot();
+  void finishSnapshot();
   std::optional<Update> onPeerAnswer(StoreResult &Result);
   std::optional<Update> onPage(StoreResult &Result);
   std::optional<Update> onChanges(StoreResult &Result);
@@ -164,7 +193,11 @@
   uint32_t PeerCallsInRow = 0;
   /// Whether the pending call goes to a peer that this instance follows.
   bool IsFollowingPeer = false;
-  uint64_t Revision = 0;
+  StorePosition Position;
+  /// Whether items of the store have been passed on.
+  bool HasItems = false;
+  /// Whether the snapshot being read is the first one after a restoration.
+  bool IsReadingRestoredStore = false;
   TimePoint NextCallTime{};
   TimePoint ConfirmedAt{};
   /// The last key of the pages read so far; empty before the first page.
--- a/src/store_update_applier.cpp
+++ b/src/store_update_applier.cpp
@@ -14,8 +14,12 @@
 } // namespace
 
 void StoreUpdateApplier::apply(const StoreSync::Update &Update) {
+  ContentKind = Update.ContentKind;
+  IsFromRestoredStore = Update.IsFromRestoredStore;
   if (!Update.isSnapshotOrPage() || Update.startsSnapshot())
     SnapshotUpstreams.clear();
+  if (IsFromRestoredStore && Update.startsSnapshot())
+    Review.begin(TimeSource.now());
   for (const StoreItem &Item : Update.Items)
     std::visit(
         Overloaded{[](const IgnoredItem &) {},
@@ -25,25 +29,109 @@
     removeMissingUpstreams();
 }
 
+void StoreUpdateApplier::applyDue() {
+  const TimePoint Now = TimeSource.now();
+  for (const UpstreamId Id : Review.takeMissing(Now))
+    logUpstream(Id, Upstreams.remove(Id, Now), 0);
+  for (const auto &Held : Review.takeConfirmed(Now))
+    put(Held.Registration, Held.CreatedRevision, Held.CreatedRevision);
+  if (const auto Config = Review.takeDeferredConfiguration(Now))
+    replaceConfiguration(*Config, 0);
+}
+
+bool StoreUpdateApplier::supersedes(const StoreItem &Known,
+                                    const StoreItem *Restored) const {
+  const DecodedItem KnownContent = Decode(Known);
+  const auto *KnownConfig = std::get_if<RouteConfiguration>(&KnownContent);
+  if (KnownConfig == nullptr)
+    return false;
+  if (Restored == nullptr)
+    return true;
+  const DecodedItem RestoredContent = Decode(*Restored);
+  const auto *RestoredConfig =
+      std::get_if<RouteConfiguration>(&RestoredContent);
+  return RestoredConfig == nullptr ||
+         RestoredConfig->Version < KnownConfig->Version;
+}
+
 void StoreUpdateApplier::applyItem(const StoreItem &Item,
                                    const UpstreamRegistration &Registration) {
-  SnapshotUpstreams.push_back(Registration.Id);
-  logUpstream(
-      Registration.Id,
-      Upstreams.put(Registration, Item.CreatedRevision, TimeSource.now()),
-      Item.Revision);
+  const UpstreamId Id = Registration.Id;
+  SnapshotUpstreams.push_back(Id);
+  const auto Verdict =
+      IsFromRestoredStore
+          ? RestorationReview::judge(Registration, Upstreams.find(Id))
+          : RestorationReview::Verdict::Apply;
+  if (Verdict == RestorationReview::Verdict::Apply) {
+    Review.release(Id);
+    put(Registration, Item.CreatedRevision, Item.Revision);
+    return;
+  }
+  const bool IsHeld = Verdict == RestorationReview::Verdict::Hold;
+  if (IsHeld)
+    Review.hold({Registration, Item.CreatedRevision});
+  Log.write(LogEvent::RegistrationOutdated, [&] {
+    return EventLog::Fields{
+        {"upstream", toHex(Id)},
+        {"state", nameOf(Upstreams.find(Id)->State)},
+        {"restoredState", Registration.Draining ? "draining" : "ready"},
+        {"needsConfirmation", IsHeld},
+        {"revision", Item.Revision}};
+  });
+}
+
+void StoreUpdateApplier::put(const UpstreamRegistration &Registration,
+                             uint64_t CreatedRevision, uint64_t Revision) {
+  logUpstream(Registration.Id,
+              Upstreams.put(Registration, CreatedRevision, TimeSource.now()),
+              Revision);
 }
 
 void StoreUpdateApplier::applyItem(const StoreItem &Item,
                                    const UpstreamRemoval &Removal) {
+  Review.release(Removal.Id);
   logUpstream(Removal.Id, Upstreams.remove(Removal.Id, TimeSource.now()),
               Item.Revision);
 }
 
+// The version decides unless the store was restored: then a configuration that
+// was written since may have the version of a lost one, or a lower one.
 void StoreUpdateApplier::applyItem(const StoreItem &Item,
                                    const RouteConfiguration &Config) {
+  if (IsFromRestoredStore)
+    Review.recordRestoredConfiguration(Item.Revision);
+  const bool IsRewritten = Routes.isLoaded() &&
+                           ContentKind != Content::Retained &&
+                           Review.isWrittenSince(Item.Revision);
+  if (IsRewritten)
+    Review.discardDeferredConfiguration();
+  if (IsRewritten && Config.Version < Routes.version()) {
+    Review.deferConfiguration(Config, TimeSource.now());
+    return;
+  }
+  const bool IsVersionReused =
+      Config.Version == Routes.version() && Routes.isLoaded() &&
+      (IsRewritten || IsFromRestoredStore) && !Routes.hasSameContent(Config);
+  if (IsVersionReused) {
+    replaceConfiguration(Config, Item.Revision);
+    return;
+  }
   const ConfigVersion PreviousVersion = Routes.version();
   const RouteTable::Change Change = Routes.apply(Config);
+  logConfiguration(Config, Change, PreviousVersion, Item.Revision);
+}
+
+void StoreUpdateApplier::replaceConfiguration(const RouteConfiguration &Config,
+                                              uint64_t Revision) {
+  const ConfigVersion PreviousVersion = Routes.version();
+  const RouteTable::Change Change = Routes.replace(Config);
+  logConfiguration(Config, Change, PreviousVersion, Revision);
+}
+
+void StoreUpdateApplier::logConfiguration(const RouteConfiguration &Config,
+                                          const RouteTable::Change &Change,
+                                          ConfigVersion PreviousVersion,
+                                          uint64_t Revision) {
   // An unchanged copy of the current version is not logged.
   if (!Change.Applied && Config.Version == PreviousVersion)
     return;
@@ -53,7 +141,7 @@
               return EventLog::Fields{
                   {"version", Config.Version.value()},
                   {"versionBefore", PreviousVersion.value()},
-                  {"revision", Item.Revision},
+                  {"revision", Revision},
                   {"routes", Routes.size()},
                   {"added", Change.Added},
                   {"removed", Change.Removed}};
@@ -74,9 +162,14 @@
 }
 
 void StoreUpdateApplier::removeMissingUpstreams() {
-  Upstreams.retain(SnapshotUpstreams, TimeSource.now(), [this](UpstreamId Id) {
-    logUpstream(Id, UpstreamRegistry::Change::Removed, 0);
-  });
+  const TimePoint Now = TimeSource.now();
+  const std::vector<UpstreamId> MissingIds =
+      Upstreams.missingFrom(SnapshotUpstreams);
+  if (Review.keepsMissingUpstreams(Now))
+    Review.setMissing(MissingIds);
+  else
+    for (const UpstreamId Id : MissingIds)
+      logUpstream(Id, Upstreams.remove(Id, Now), 0);
   Upstreams.markComplete();
 }
 
--- a/src/store_update_applier.h
+++ b/src/store_update_applier.h
@@ -7,6 +7,7 @@
 
 #include "clock.h"
 #include "event_log.h"
+#include "restoration_review.h"
 #include "route_table.h"
 #include "store_sync.h"
 #include "upstream_registry.h"
@@ -39,19 +40,39 @@
 /// changes.
 class StoreUpdateApplier {
 public:
+  /// \p RegistrationLifetime is the time after which the store removes the
+  /// registration of an upstream that is no longer running.
   StoreUpdateApplier(ItemDecoder Decode, const Clock &TimeSource, EventLog &Log,
-                     RouteTable &Routes, UpstreamRegistry &Upstreams)
+                     RouteTable &Routes, UpstreamRegistry &Upstreams,
+                     Duration RegistrationLifetime)
       : Decode(std::move(Decode)), TimeSource(TimeSource), Log(Log),
-        Routes(Routes), Upstreams(Upstreams) {}
+        Routes(Routes), Upstreams(Upstreams), Review(RegistrationLifetime) {}
 
   void apply(const StoreSync::Update &Update);
 
+  /// Applies what was put off after a restoration of the store and is due now.
+  /// Called several times a second.
+  void applyDue();
+
+  /// Whether \p Known stays in force although the restored store has
+  /// \p Restored in its place, or no item if that is null.
+  bool supersedes(const StoreItem &Known, const StoreItem *Restored) const;
+
 private:
+  using Content = StoreSync::Update::Content;
+
   void applyItem(const StoreItem &Item,
                  const UpstreamRegistration &Registration);
   void applyItem(const StoreItem &Item, const UpstreamRemoval &Removal);
   void applyItem(const StoreItem &Item, const RouteConfiguration &Config);
   void applyItem(const StoreItem &Item, const UnreadableItem &Unreadable);
+  void put(const UpstreamRegistration &Registration, uint64_t CreatedRevision,
+           uint64_t Revision);
+  void replaceConfiguration(const RouteConfiguration &Config,
+                            uint64_t Revision);
+  void logConfiguration(const RouteConfiguration &Config,
+                        const RouteTable::Change &Change,
+                        ConfigVersion PreviousVersion, uint64_t Revision);
   void removeMissingUpstreams();
   void logUpstream(UpstreamId Id, UpstreamRegistry::Change Change,
                    uint64_t Revision);
@@ -61,6 +82,10 @@
   EventLog &Log;
   RouteTable &Routes;
   UpstreamRegistry &Upstreams;
+  RestorationReview Review;
+  /// The update that is being applied.
+  Content ContentKind = Content::Changes;
+  bool IsFromRestoredStore = false;
   /// Upstreams that are registered in the snapshot that is being read.
   std::vector<UpstreamId> SnapshotUpstreams;
 };
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -35,6 +35,9 @@
                       uint64_t CreatedRevision, TimePoint Now) {
   auto [It, IsNew] = Upstreams.try_emplace(Registration.Id, Opts);
   Upstream &Entry = It->second;
+  // A registration that lapsed or was lost with the store's latest changes is
+  // created again; instances that start later know only its new revision.
+  Entry.CreatedRevision = CreatedRevision;
   const UpstreamState NewState =
       Registration.Draining ? UpstreamState::Draining : UpstreamState::Ready;
   // An unchanged registration must not restart the warm-up.
@@ -57,7 +60,6 @@
   }
   Entry.Registration = Registration;
   Entry.State = NewState;
-  Entry.CreatedRevision = CreatedRevision;
   Entry.WarmupEnd = Now + Registration.WarmupLeft;
   addToIndexes(Entry);
   return Result;
@@ -73,13 +75,15 @@
   return Change::Removed;
 }
 
-void UpstreamRegistry::retain(
-    const std::vector<UpstreamId> &PresentIds, TimePoint Now,
-    const std::function<void(UpstreamId)> &OnRemoved) {
+std::vector<UpstreamId>
+UpstreamRegistry::missingFrom(const std::vector<UpstreamId> &PresentIds) const {
   const std::set<UpstreamId> PresentIdSet(PresentIds.begin(), PresentIds.end());
+  std::vector<UpstreamId> Out;
   for (const auto &[Id, Entry] : Upstreams)
-    if (PresentIdSet.count(Id) == 0 && remove(Id, Now) == Change::Removed)
-      OnRemoved(Id);
+    if (Entry.State != UpstreamState::Unregistered &&
+        PresentIdSet.count(Id) == 0)
+      Out.push_back(Id);
+  return Out;
 }
 
 void UpstreamRegistry::expire(TimePoint Now, Duration FlowLifetime) {
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <functional>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -88,9 +87,9 @@
   /// invalid. The entry stays until expire() erases it.
   Change remove(UpstreamId Id, TimePoint Now);
 
-  /// Marks all upstreams that are not in \p PresentIds as unregistered.
-  void retain(const std::vector<UpstreamId> &PresentIds, TimePoint Now,
-              const std::function<void(UpstreamId)> &OnRemoved);
+  /// The registered upstreams that are not in \p PresentIds.
+  std::vector<UpstreamId>
+  missingFrom(const std::vector<UpstreamId> &PresentIds) const;
 
   /// Erases upstreams that have been unregistered for longer than
   /// \p FlowLifetime.
--- a/standins/flow_platform.py
+++ b/standins/flow_platform.py
@@ -83,8 +83,17 @@
     """Keys with revisions, read by ranges and watches. Each instance may get
     a server port of its own, so that the store can refuse the calls of some."""
 
+    # Copies of the store are kept for this long.
+    COPY_LIFETIME_S = 10
+
     def __init__(self):
         self.items, self.events, self.revision = {}, [], 1
+        # Rises each time the store returns to a copy.
+        self.era = 1
+        # Time, revision and items after each change.
+        self.copies = [(time.monotonic(), self.revision, {})]
+        # The last acknowledged value of each key, which a copy may lack.
+        self.acknowledged = {}
         # Changes up to this revision are no longer in the history.
         self.discarded_until = 0
         # Status of every answer while the store is down.
@@ -114,6 +123,7 @@
                 body = json.dumps(content).encode()
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
+                self.send_header("Store-Era", str(store.era))
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
                 self.wfile.write(body)
@@ -140,17 +150,49 @@
             created_revision = self.items.get(key, {}).get("CreateRev", self.revision)
             self.items[key] = {"Key": key, "Value": text, "Revision": self.revision,
                                "CreateRev": created_revision, "Lease": 0}
+            self.acknowledged[key] = value
             self.events.append(self.items[key])
+            self.keep_copy()
             self.changed.notify_all()
 
     def remove(self, key):
         with self.changed:
+            self.acknowledged.pop(key, None)
             if self.items.pop(key, None) is None:
                 return
             self.revision += 1
             self.events.append({"Key": key, "Revision": self.revision, "Deleted": True})
+            self.keep_copy()
+            self.changed.notify_all()
+
+    def keep_copy(self):
+        now = time.monotonic()
+        self.copies.append((now, self.revision, dict(self.items)))
+        while len(self.copies) > 1 and self.copies[1][0] < now - self.COPY_LIFETIME_S:
+            del self.copies[0]
+
+    def restore(self, age_s):
+        """Returns to the copy of some seconds ago. What was written since is gone, its
+        revisions are given out again, and the era rises."""
+        with self.changed:
+            then = time.monotonic() - age_s
+            old = [copy for copy in self.copies if copy[0] <= then] or self.copies[:1]
+            _, self.revision, items = old[-1]
+            self.items, self.events, self.discarded_until = dict(items), [], self.revision
+            self.copies = [(time.monotonic(), self.revision, dict(items))]
+            self.era += 1
             self.changed.notify_all()
 
+    def lost_keys(self):
+        """Keys whose acknowledged value the store does not have."""
+        return [key for key, value in self.acknowledged.items()
+                if key not in self.items
+                or json.loads(base64.b64decode(self.items[key]["Value"])) != value]
+
+    def outdated_keys(self):
+        """Keys that were removed before the store returned to a copy that has them."""
+        return [key for key in self.items if key not in self.acknowledged]
+
     def forget_history(self):
         with self.changed:
             self.events, self.discarded_until = [], self.revision
@@ -163,7 +205,9 @@
                              "StoreRevision": self.revision}
             after = int(query["after"][0])
             pending_events = lambda: [event for event in self.events if event["Revision"] > after]
-            is_history_gone = lambda: after < self.discarded_until
+            era = self.era
+            is_history_gone = lambda: (after < self.discarded_until or after > self.revision
+                                       or era != self.era)
             self.changed.wait_for(lambda: pending_events() or is_history_gone(),
                                   int(query["WaitMs"][0]) / 1000)
             if is_history_gone():
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -20,13 +20,17 @@
     explicit Instance(EventLoop &Loop, Endpoint Address)
         : Peers({Address, "a", 0s, 100}, {}, TimeSource, Random), Http(Loop),
           Exchange(Loop, Http, {Address, "a", 0s, 100}, Peers, Mirror,
-                   [] { return 700ms; }) {}
+                   {[] { return 700ms; }, [this] { return Configuration; }}) {}
 
     ManualClock TimeSource;
     RandomSource Random{1};
     PeerTable Peers;
     HttpClient Http;
-    StoreMirror Mirror;
+    // A known configuration stays in force if the restored store has none.
+    StoreMirror Mirror{[](const StoreItem &, const StoreItem *Restored) {
+      return Restored == nullptr;
+    }};
+    ConfigVersion Configuration;
     PeerExchange Exchange;
   };
 
@@ -41,10 +45,10 @@
       : ServerAddress(freePort(Loop)), Server(Loop, ServerAddress),
         Client(Loop, {0x7f000001, 9}) {}
 
-  StoreResult ask(uint64_t After, Duration Wait) {
+  StoreResult ask(uint64_t After, Duration Wait, uint64_t Era = 0) {
     StoreResult Result;
     bool HasAnswer = false;
-    Client.Exchange.ask(ServerAddress, After, Wait, {2s},
+    Client.Exchange.ask(ServerAddress, {Era, After}, Wait, {2s},
                         [&](StoreResult Reply) {
                           Result = std::move(Reply);
                           HasAnswer = true;
@@ -70,11 +74,11 @@
 TEST_F(PeerExchangeTest, StartingInstanceGetsSnapshotWithAge) {
   Server.Mirror.apply({StoreSync::Update::Content::Snapshot,
                        {{"k", std::string("\0\xff", 2), 5, 4, false}}},
-                      9);
+                      {0, 9});
   const StoreResult Result = ask(0, 0s);
   ASSERT_EQ(Result.ResultStatus, StoreResult::Status::Answered);
   EXPECT_TRUE(Result.Complete);
-  EXPECT_EQ(Result.Revision, 9U);
+  EXPECT_EQ(Result.Position.Revision, 9U);
   EXPECT_EQ(Result.Age, 700ms);
   ASSERT_EQ(Result.Items.size(), 1U);
   EXPECT_EQ(Result.Items[0].Value, std::string("\0\xff", 2));
@@ -82,17 +86,18 @@
 }
 
 TEST_F(PeerExchangeTest, ChangeAnswersPendingRequest) {
-  Server.Mirror.apply({StoreSync::Update::Content::Snapshot, {}}, 9);
+  Server.Mirror.apply({StoreSync::Update::Content::Snapshot, {}}, {0, 9});
   bool HasAnswer = false;
   StoreResult Result;
-  Client.Exchange.ask(ServerAddress, 9, 5s, {5s}, [&](StoreResult Reply) {
+  Client.Exchange.ask(ServerAddress, {0, 9}, 5s, {5s}, [&](StoreResult Reply) {
     Result = std::move(Reply);
     HasAnswer = true;
   });
   runUntil(Loop, [&] { return Server.Peers.size() == 1; });
   EXPECT_FALSE(HasAnswer);
   Server.Mirror.apply(
-      {StoreSync::Update::Content::Changes, {{"k", "v", 10, 10, false}}}, 10);
+      {StoreSync::Update::Content::Changes, {{"k", "v", 10, 10, false}}},
+      {0, 10});
   Server.Exchange.answerPendingRequests();
   ASSERT_TRUE(runUntil(Loop, [&] { return HasAnswer; }));
   EXPECT_FALSE(Result.Complete);
@@ -103,18 +108,41 @@
 // or after a further change.
 TEST_F(PeerExchangeTest, AnswerContainsChangesSinceRequestedRevision) {
   using Content = StoreSync::Update::Content;
-  Server.Mirror.apply({Content::Snapshot, {}}, 9);
-  Server.Mirror.apply({Content::Changes, {{"a", "v", 10, 10, false}}}, 10);
-  Server.Mirror.apply({Content::Changes, {{"b", "v", 11, 11, false}}}, 11);
+  Server.Mirror.apply({Content::Snapshot, {}}, {0, 9});
+  Server.Mirror.apply({Content::Changes, {{"a", "v", 10, 10, false}}}, {0, 10});
+  Server.Mirror.apply({Content::Changes, {{"b", "v", 11, 11, false}}}, {0, 11});
   EXPECT_EQ(ask(10, 0s).Items.size(), 1U);
   EXPECT_EQ(ask(9, 0s).Items.size(), 2U);
   EXPECT_TRUE(ask(0, 0s).Complete);
-  Server.Mirror.apply({Content::Changes, {{"c", "v", 12, 12, false}}}, 12);
+  Server.Mirror.apply({Content::Changes, {{"c", "v", 12, 12, false}}}, {0, 12});
   EXPECT_EQ(ask(10, 0s).Items.size(), 2U);
 }
 
+// Guards against a peer of an earlier era that applies changes of the new one
+// to what it knows, although its revision is higher.
+TEST_F(PeerExchangeTest, PeerOfAnEarlierEraGetsAllItems) {
+  using Content = StoreSync::Update::Content;
+  Server.Mirror.apply({Content::Snapshot, {{"k", "v", 5, 5, false}}}, {2, 9});
+  const StoreResult Result = ask(20, 5s, 1);
+  EXPECT_TRUE(Result.Complete);
+  EXPECT_EQ(Result.Position, (StorePosition{2, 9}));
+}
+
+// An instance that starts while the restored store is behind reads an older
+// configuration than the one in force on the others.
+TEST_F(PeerExchangeTest, RetainedItemsAreSentToPeersWithAnOlderConfiguration) {
+  using Content = StoreSync::Update::Content;
+  Server.Mirror.apply({Content::Snapshot, {{"config", "v", 5, 5, false}}},
+                      {1, 9});
+  Server.Mirror.apply({Content::Snapshot, {}, true}, {2, 3});
+  Server.Configuration = ConfigVersion(7);
+  ASSERT_EQ(ask(3, 0s, 2).Retained.size(), 1U);
+  Client.Configuration = ConfigVersion(7);
+  EXPECT_TRUE(ask(3, 0s, 2).Retained.empty());
+}
+
 TEST_F(PeerExchangeTest, RequestIsAnsweredAfterWaitTime) {
-  Server.Mirror.apply({StoreSync::Update::Content::Snapshot, {}}, 9);
+  Server.Mirror.apply({StoreSync::Update::Content::Snapshot, {}}, {0, 9});
   const StoreResult Result = ask(9, 50ms);
   EXPECT_EQ(Result.ResultStatus, StoreResult::Status::Answered);
   EXPECT_TRUE(Result.Items.empty());
@@ -149,17 +177,23 @@
 
 TEST(PeerCodec, MalformedRequestsAreRejected) {
   EXPECT_FALSE(decodePeerRequest({}));
-  EXPECT_FALSE(decodePeerRequest({{"after", "x"},
+  EXPECT_FALSE(decodePeerRequest({{"era", "4"},
+                                  {"configuration", "6"},
+                                  {"after", "x"},
                                   {"wait_ms", "1"},
                                   {"from", "1.2.3.4:5"},
                                   {"link_mbps", "10"},
                                   {"zone", "a"}}));
-  EXPECT_FALSE(decodePeerRequest({{"after", "1"},
+  EXPECT_FALSE(decodePeerRequest({{"era", "4"},
+                                  {"configuration", "6"},
+                                  {"after", "1"},
                                   {"wait_ms", "99999999"},
                                   {"from", "1.2.3.4:5"},
                                   {"link_mbps", "10"},
                                   {"zone", "a"}}));
-  EXPECT_TRUE(decodePeerRequest({{"after", "1"},
+  EXPECT_TRUE(decodePeerRequest({{"era", "4"},
+                                 {"configuration", "6"},
+                                 {"after", "1"},
                                  {"wait_ms", "1"},
                                  {"from", "1.2.3.4:5"},
                                  {"link_mbps", "10"},
@@ -171,26 +205,31 @@
 TEST(PeerCodec, RequestsAndAnswersKeepAllFields) {
   const PeerInfo Info{{0x7f000001, 65535}, "a b&c", 3s, 4'000'000'000};
   PeerAnswer Answer;
-  Answer.Changes.Revision = 7;
+  Answer.Changes.Position = {4, 7};
   Answer.Changes.Age = 5s;
   Answer.Changes.Items = {{"key", std::string("\0\xff", 2), 3, 2, true}};
+  Answer.Changes.Retained = {{"key", "kept", 9, 8, false}};
   Answer.Peers = {Info};
   const auto Result = decodePeerAnswer(encode(Answer));
   ASSERT_TRUE(Result);
-  EXPECT_EQ(Result->Changes.Revision, 7U);
+  EXPECT_EQ(Result->Changes.Position, (StorePosition{4, 7}));
+  ASSERT_EQ(Result->Changes.Retained.size(), 1U);
+  EXPECT_EQ(Result->Changes.Retained[0].Value, "kept");
   EXPECT_EQ(Result->Changes.Age, 5s);
   ASSERT_EQ(Result->Changes.Items.size(), 1U);
   EXPECT_EQ(Result->Changes.Items[0].Value, Answer.Changes.Items[0].Value);
   EXPECT_TRUE(Result->Changes.Items[0].Deleted);
   EXPECT_EQ(Result->Peers, std::vector<PeerInfo>({Info}));
-  EXPECT_EQ(encodePeerRequest({9, 50ms, Info}),
-            "/peer/2?after=9&wait_ms=50&from=127.0.0.1%3A65535&zone=a%20b%26c"
+  EXPECT_EQ(encodePeerRequest({{4, 9}, ConfigVersion(6), 50ms, Info}),
+            "/peer/"
+            "3?era=4&after=9&configuration=6&wait_ms=50&from=127.0.0.1%3A65535&"
+            "zone=a%20b%26c"
             "&link_mbps=4000000000");
 }
 
 TEST(PeerCodec, DamagedAnswersAreTolerated) {
   PeerAnswer Answer;
-  Answer.Changes.Revision = 7;
+  Answer.Changes.Position = {4, 7};
   Answer.Changes.Items = {{"key", "value", 3, 2, false}};
   Answer.Peers = {{{1, 2}, "a", 3s, 10}};
   const std::string Good = encode(Answer);
--- a/tests/store_codec_test.cpp
+++ b/tests/store_codec_test.cpp
@@ -70,7 +70,7 @@
   ASSERT_EQ(Page.Items.size(), 1U);
   EXPECT_EQ(Page.Items[0].Value, "abc");
   EXPECT_TRUE(Page.MorePages);
-  EXPECT_EQ(Page.Revision, 9U);
+  EXPECT_EQ(Page.Position.Revision, 9U);
 }
 
 // Guards against numbers of another type that a conversion would accept: a
@@ -204,7 +204,33 @@
   EXPECT_EQ(Actual.Items[0].Value, "node-1");
   EXPECT_EQ(Actual.Items[0].CreatedRevision, 410U);
   EXPECT_TRUE(Actual.Items[1].Deleted);
-  EXPECT_EQ(Actual.Revision, 413U);
+  EXPECT_EQ(Actual.Position.Revision, 413U);
+}
+
+// Guards against a restored store that is taken for the same one, or for none.
+TEST(StoreCodecTest, ReadsTheEraOfEveryAnswer) {
+  HttpResult Response = response(R"({"events":[],"StoreRevision":9})");
+  EXPECT_EQ(decodeResult(watch(1, 0s), Response).Position,
+            (StorePosition{0, 9}));
+  Response.Headers["store-era"] = "3";
+  EXPECT_EQ(decodeResult(watch(1, 0s), Response).Position,
+            (StorePosition{3, 9}));
+  Response.Status = 410;
+  const StoreResult Gone = decodeResult(watch(1, 0s), Response);
+  EXPECT_EQ(Gone.ResultStatus, StoreResult::Status::HistoryLost);
+  EXPECT_EQ(Gone.Position.Era, 3U);
+}
+
+// Guards against a damaged header that is read as an older era, or as that of a
+// store without eras.
+TEST(StoreCodecTest, AnswerWithUnreadableEraIsNotUsed) {
+  for (const char *Text : {"", "x", "3x", "-1", "0", "99999999999999999999"}) {
+    HttpResult Response = response(R"({"events":[],"StoreRevision":9})");
+    Response.Headers["store-era"] = Text;
+    const StoreResult Result = decodeResult(watch(1, 0s), Response);
+    EXPECT_EQ(Result.ResultStatus, StoreResult::Status::Failed) << Text;
+    EXPECT_FALSE(Result.Problem.empty());
+  }
 }
 
 TEST(StoreCodecTest, DecodesValuesOfAnyLength) {
--- /dev/null
+++ b/tests/store_restoration_test.cpp
@@ -0,0 +1,300 @@
+// What instances do when the store comes back from an older copy of itself.
+
+#include <gtest/gtest.h>
+
+#include "model_instance.h"
+
+namespace indigopoint {
+namespace {
+
+using namespace std::chrono_literals;
+
+// An instance that knows configuration 7 and the upstreams 1, 2 and 3 of the
+// store. The store's copy was made before the test's changes.
+class StoreRestorationTest : public testing::Test {
+protected:
+  StoreRestorationTest() {
+    Store.put("config", "7 chat");
+    for (const uint64_t Id : {1, 2, 3})
+      Store.put(upstreamKey(Id), "ready 1000");
+    Store.copy();
+    Instance.follow(Store);
+  }
+
+  // The instance learns what was written since the copy; then the store returns
+  // to the copy.
+  void restore() {
+    Instance.follow(Store);
+    Store.restore();
+    Instance.follow(Store);
+  }
+
+  void advance(Duration Time) {
+    TimeSource.advance(Time);
+    Instance.maintain();
+  }
+
+  ManualClock TimeSource;
+  ModelStore Store;
+  ModelInstance Instance{TimeSource};
+};
+
+TEST_F(StoreRestorationTest, ConfigurationInForceDoesNotGoBack) {
+  Store.put("config", "9 photos");
+  restore();
+  EXPECT_EQ(Instance.configuration(), 9U);
+  advance(60s);
+  EXPECT_EQ(Instance.configuration(), 9U);
+  EXPECT_EQ(Instance.service(), "photos");
+  // The operator writes it again.
+  Store.put("config", "9 photos");
+  Instance.follow(Store);
+  Store.put("config", "10 chat");
+  Instance.follow(Store);
+  EXPECT_EQ(Instance.configuration(), 10U);
+}
+
+// Guards against an instance that waits for a higher revision or version than
+// the operator uses after the restoration.
+TEST_F(StoreRestorationTest, ReusedVersionWithOtherContentIsApplied) {
+  Store.put("config", "9 photos");
+  restore();
+  Store.put("config", "9 chat");
+  Instance.follow(Store);
+  EXPECT_EQ(Instance.configuration(), 9U);
+  EXPECT_EQ(Instance.service(), "chat");
+}
+
+// The same if the operator was faster than the instance's first call.
+TEST_F(StoreRestorationTest, ReusedVersionInTheFirstSnapshotIsApplied) {
+  Store.put("config", "9 photos");
+  Instance.follow(Store);
+  Store.restore();
+  Store.put("config", "9 chat");
+  Instance.follow(Store);
+  EXPECT_EQ(Instance.service(), "chat");
+}
+
+TEST_F(StoreRestorationTest, LowerVersionWrittenSinceIsAppliedWithinASecond) {
+  Store.put("config", "9 photos");
+  restore();
+  Store.put("config", "8 chat");
+  Instance.follow(Store);
+  advance(900ms);
+  EXPECT_EQ(Instance.configuration(), 9U);
+  advance(200ms);
+  EXPECT_EQ(Instance.configuration(), 8U);
+}
+
+// Guards against an instance that goes back for a moment while the operator
+// writes all lost versions again.
+TEST_F(StoreRestorationTest, VersionsThatAreWrittenAgainInTurnDoNotGoBack) {
+  Store.put("config", "8 chat");
+  Store.put("config", "9 photos");
+  restore();
+  Store.put("config", "8 chat");
+  Instance.follow(Store);
+  advance(500ms);
+  Store.put("config", "9 photos");
+  Instance.follow(Store);
+  advance(2s);
+  EXPECT_EQ(Instance.configuration(), 9U);
+  EXPECT_EQ(Instance.log().find(R"("version":8,"versionBefore":9)"),
+            std::string::npos);
+}
+
+// Guards against upstreams that lose all new flows until they register again.
+TEST_F(StoreRestorationTest, LostRegistrationStaysUntilItIsWrittenAgain) {
+  Store.put(upstreamKey(4), "ready 1000");
+  restore();
+  advance(2s);
+  EXPECT_EQ(Instance.state(4), UpstreamState::Ready);
+  Store.put(upstreamKey(4), "ready 1000");
+  Instance.follow(Store);
+  advance(10s);
+  EXPECT_EQ(Instance.state(4), UpstreamState::Ready);
+}
+
+TEST_F(StoreRestorationTest, RegistrationThatIsNotWrittenAgainIsGone) {
+  Store.put(upstreamKey(4), "ready 1000");
+  restore();
+  advance(2600ms);
+  EXPECT_EQ(Instance.state(4), UpstreamState::Unregistered);
+  EXPECT_EQ(Instance.state(1), UpstreamState::Ready);
+}
+
+// Guards against new flows to an upstream that has left and only stands in the
+// copy.
+TEST_F(StoreRestorationTest, UpstreamThatHasLeftIsNotUsedAgain) {
+  Store.remove(upstreamKey(2));
+  restore();
+  EXPECT_EQ(Instance.state(2), UpstreamState::Unregistered);
+  // Its registration expires in the store.
+  advance(3s);
+  Store.remove(upstreamKey(2));
+  Instance.follow(Store);
+  advance(60s);
+  EXPECT_EQ(Instance.state(2), UpstreamState::Unregistered);
+}
+
+// An upstream whose registration lapsed before the gap, and which is running,
+// stands in the copy and renews its registration without a change.
+TEST_F(StoreRestorationTest, RegistrationThatOutlastsItsLifetimeIsUsed) {
+  Store.remove(upstreamKey(2));
+  restore();
+  advance(ModelRegistrationLifetime - 1ms);
+  EXPECT_EQ(Instance.state(2), UpstreamState::Unregistered);
+  advance(2ms);
+  EXPECT_EQ(Instance.state(2), UpstreamState::Ready);
+}
+
+TEST_F(StoreRestorationTest, UpstreamThatRegistersAgainIsUsedAtOnce) {
+  Store.remove(upstreamKey(2));
+  restore();
+  Store.put(upstreamKey(2), "ready 1000");
+  Instance.follow(Store);
+  EXPECT_EQ(Instance.state(2), UpstreamState::Ready);
+}
+
+TEST_F(StoreRestorationTest, DrainingUpstreamDoesNotBecomeReady) {
+  Store.put(upstreamKey(2), "draining 1000");
+  restore();
+  advance(60s);
+  EXPECT_EQ(Instance.state(2), UpstreamState::Draining);
+}
+
+TEST_F(StoreRestorationTest, RestartedUpstreamIsNotTakenForItsEarlierProcess) {
+  Store.put(upstreamKey(2), "draining 1000");
+  Store.put(upstreamKey(2), "ready 2000");
+  restore();
+  EXPECT_EQ(Instance.state(2), UpstreamState::Ready);
+  Store.put(upstreamKey(2), "ready 2000");
+  Instance.follow(Store);
+  EXPECT_EQ(
+      Instance.log().find(
+          R"("change":"restarted","state":"ready","service":"chat","address":"0.0.0.2:80","zone":"","revision":3)"),
+      std::string::npos);
+}
+
+// Guards against an answer of the old era that arrives after one of the new
+// era, and against a watch whose revision exists in the new era for other
+// content.
+TEST_F(StoreRestorationTest, AnswersOfAnEarlierEraAreIgnored) {
+  Store.put("config", "9 photos");
+  Instance.follow(Store);
+  const StoreResult Late = Store.answer(Instance.startCall());
+  Instance.finishCall(Late);
+  Store.restore();
+  Instance.follow(Store);
+  const StorePosition Before = Instance.position();
+  Instance.startCall();
+  StoreResult OldAnswer = Late;
+  OldAnswer.Items = {{upstreamKey(5), "ready 1000", 90, 90, false}};
+  OldAnswer.Position.Revision = 90;
+  Instance.finishCall(OldAnswer);
+  EXPECT_EQ(Instance.position(), Before);
+  EXPECT_EQ(Instance.state(5), std::nullopt);
+}
+
+TEST_F(StoreRestorationTest, WatchOfTheOldEraIsNotContinued) {
+  Store.put("config", "9 photos");
+  Instance.follow(Store);
+  Store.restore();
+  // The revision that the instance has is given out again.
+  Store.put(upstreamKey(6), "ready 1000");
+  Store.put(upstreamKey(7), "ready 1000");
+  Instance.follow(Store);
+  EXPECT_EQ(Instance.state(6), UpstreamState::Ready);
+  EXPECT_EQ(Instance.state(7), UpstreamState::Ready);
+}
+
+// Guards against a snapshot whose first pages are of one era and whose last
+// ones are of the next.
+TEST_F(StoreRestorationTest, SnapshotPagesOfTwoErasAreNotMixed) {
+  Store.PageSize = 2;
+  Store.put(upstreamKey(4), "ready 1000");
+  ModelInstance Starting(TimeSource);
+  Starting.callStore(Store);
+  Store.restore();
+  Store.remove(upstreamKey(1));
+  Starting.follow(Store);
+  advance(3s);
+  Starting.maintain();
+  EXPECT_EQ(Starting.state(1), UpstreamState::Unregistered);
+  EXPECT_EQ(Starting.state(2), UpstreamState::Ready);
+  EXPECT_EQ(Starting.mirror().all().size(), 3U);
+}
+
+TEST_F(StoreRestorationTest, TwoRestorationsWithinSecondsKeepWhatIsInForce) {
+  Store.put("config", "9 photos");
+  Store.put(upstreamKey(4), "ready 1000");
+  Store.remove(upstreamKey(2));
+  restore();
+  advance(1s);
+  Store.restore();
+  Instance.follow(Store);
+  EXPECT_EQ(Instance.configuration(), 9U);
+  EXPECT_EQ(Instance.state(4), UpstreamState::Ready);
+  EXPECT_EQ(Instance.state(2), UpstreamState::Unregistered);
+  Store.put(upstreamKey(4), "ready 1000");
+  Instance.follow(Store);
+  advance(3s);
+  EXPECT_EQ(Instance.state(4), UpstreamState::Ready);
+}
+
+// An instance that starts in the gap reads the copy only; the others know more.
+TEST_F(StoreRestorationTest, StartingInstanceGetsTheConfigurationFromAPeer) {
+  Store.put("config", "9 photos");
+  restore();
+  ModelInstance Starting(TimeSource);
+  Starting.follow(Store);
+  EXPECT_EQ(Starting.configuration(), 7U);
+  Starting.askPeer(Instance);
+  EXPECT_EQ(Starting.configuration(), 9U);
+  // And the next one from it.
+  ModelInstance Next(TimeSource);
+  Next.follow(Store);
+  Next.askPeer(Starting);
+  EXPECT_EQ(Next.configuration(), 9U);
+  Store.put("config", "10 chat");
+  Next.follow(Store);
+  EXPECT_EQ(Next.configuration(), 10U);
+  EXPECT_TRUE(Next.mirror().retained().empty());
+}
+
+// Guards against two zones of which one still follows the old era: a peer with
+// a higher revision of a lower era has nothing new.
+TEST_F(StoreRestorationTest, PeerOfAnEarlierEraChangesNothing) {
+  ModelInstance Behind(TimeSource);
+  Store.put("config", "9 photos");
+  Store.put(upstreamKey(4), "ready 1000");
+  Behind.follow(Store);
+  restore();
+  Store.put("config", "9 chat");
+  Instance.follow(Store);
+  const StorePosition Before = Instance.position();
+  Instance.askPeer(Behind);
+  EXPECT_EQ(Instance.position(), Before);
+  EXPECT_EQ(Instance.service(), "chat");
+  Behind.askPeer(Instance);
+  EXPECT_EQ(Behind.position(), Before);
+  EXPECT_EQ(Behind.service(), "chat");
+}
+
+// An older store sends no era. It works as before.
+TEST_F(StoreRestorationTest, StoreWithoutErasIsFollowed) {
+  ModelInstance Other(TimeSource);
+  const auto CallWithoutEra = [&] {
+    StoreResult Result = Store.answer(Other.startCall());
+    Result.Position.Era = 0;
+    Other.finishCall(std::move(Result));
+  };
+  CallWithoutEra();
+  Store.put("config", "8 photos");
+  CallWithoutEra();
+  EXPECT_EQ(Other.configuration(), 8U);
+  EXPECT_EQ(Other.position().Era, 0U);
+}
+
+} // namespace
+} // namespace indigopoint
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -19,7 +19,7 @@
                                 std::vector<StoreItem> Items = {}) {
     StoreResult Result;
     Result.ResultStatus = StoreResult::Status::Answered;
-    Result.Revision = Revision;
+    Result.Position.Revision = Revision;
     Result.Items = std::move(Items);
     return Result;
   }
@@ -219,7 +219,7 @@
   StoreResult Old = makeAnswer(9, {item("a", 4)});
   Old.Complete = true;
   EXPECT_FALSE(Sync.onResult(Old));
-  EXPECT_EQ(Sync.revision(), 10U);
+  EXPECT_EQ(Sync.position().Revision, 10U);
 }
 
 // Guards against data that seems newer after it was forwarded: its age counts
--- a/tests/store_update_applier_test.cpp
+++ b/tests/store_update_applier_test.cpp
@@ -7,6 +7,8 @@
 namespace indigopoint {
 namespace {
 
+using namespace std::chrono_literals;
+
 // Decodes an item by its key: "u1" registers upstream 1, "bad1" is an
 // unreadable registration of upstream 1, and "c7" is a configuration of
 // version 7.
@@ -52,7 +54,7 @@
   EventLog Log{{}, TimeSource};
   RouteTable Routes;
   UpstreamRegistry Upstreams;
-  StoreUpdateApplier Applier{decode, TimeSource, Log, Routes, Upstreams};
+  StoreUpdateApplier Applier{decode, TimeSource, Log, Routes, Upstreams, 5s};
   uint64_t Revision = 0;
 };
 
--- a/tests/sync_planner_test.cpp
+++ b/tests/sync_planner_test.cpp
@@ -16,7 +16,7 @@
     Sync.start(Planner.next(Sync));
     StoreResult Result;
     Result.ResultStatus = StoreResult::Status::Answered;
-    Result.Revision = 1;
+    Result.Position.Revision = 1;
     Sync.onResult(Result);
   }
 
@@ -94,7 +94,7 @@
     if (Target.Peer) {
       // A peer answers with the data that it had when the outage began.
       Answer.ResultStatus = StoreResult::Status::Answered;
-      Answer.Revision = 1;
+      Answer.Position.Revision = 1;
       Answer.Age = 20s;
     }
     Sync.onResult(Answer);
@@ -123,7 +123,7 @@
   Sync.start(PolledPeer);
   StoreResult Answer;
   Answer.ResultStatus = StoreResult::Status::Answered;
-  Answer.Revision = 1;
+  Answer.Position.Revision = 1;
   Answer.Age = 50ms;
   Sync.onResult(Answer);
   TimeSource.advance(
--- a/tests/upstream_registry_test.cpp
+++ b/tests/upstream_registry_test.cpp
@@ -62,16 +62,15 @@
   EXPECT_TRUE(Registry.upstreamsOfService("chat").empty());
 }
 
-TEST(UpstreamRegistry, RetainUnregistersAbsentUpstreams) {
+TEST(UpstreamRegistry, FindsUpstreamsThatASnapshotLacks) {
   UpstreamRegistry Registry;
   for (const uint64_t Id : {1, 2, 3})
     Registry.put(registration(Id, "chat"), Id, Start);
-  std::vector<UpstreamId> RemovedIds;
-  Registry.retain({UpstreamId(2)}, Start,
-                  [&](UpstreamId Id) { RemovedIds.push_back(Id); });
-  EXPECT_EQ(RemovedIds,
+  EXPECT_EQ(Registry.missingFrom({UpstreamId(2)}),
             std::vector<UpstreamId>({UpstreamId(1), UpstreamId(3)}));
-  EXPECT_EQ(Registry.count(UpstreamState::Ready), 1U);
+  Registry.remove(UpstreamId(1), Start);
+  EXPECT_EQ(Registry.missingFrom({UpstreamId(2)}),
+            std::vector<UpstreamId>({UpstreamId(3)}));
 }
 
 TEST(UpstreamRegistry, UpstreamCanChangeItsService) {
