--- a/experiments/run_experiment.py
+++ b/experiments/run_experiment.py
@@ -4,7 +4,7 @@
 
 Usage: run_experiment.py --bench PATH --site FILE [--site FILE] --out FOLDER
                          [--variants FILE] [--only NAME,...] [--days NAME,...]
-                         [--seeds N] [--jobs N] [--base FOLDER]"""
+                         [--seeds N] [--jobs N] [--small] [--base FOLDER]"""
 
 import argparse
 import concurrent.futures
@@ -81,6 +81,7 @@
         self.base = pathlib.Path(arguments.base).resolve()
         self.jobs = arguments.jobs
         self.reason = arguments.why
+        self.small = arguments.small
         self.check_inputs()
         self.variants = read_variants(pathlib.Path(arguments.variants))
         if arguments.only:
@@ -134,7 +135,7 @@
         site = next(site for site in self.sites if site.stem == run.site)
         report.parent.mkdir(parents=True, exist_ok=True)
         return bench_report.play(self.bench, self.out / "trees" / run.variant, site, run.day,
-                                 run.seed, f"{self.reason}: {run.variant}", report)
+                                 run.seed, f"{self.reason}: {run.variant}", report, self.small)
 
     def run(self):
         """Plays all runs and returns their results; failed runs are reported and left out."""
@@ -164,6 +165,7 @@
     parser.add_argument("--days", help="names of days, separated by commas; all with trouble")
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--jobs", type=int, default=3, help="runs at a time")
+    parser.add_argument("--small", action="store_true", help="play small twins of the days")
     parser.add_argument("--base", default=str(ROOT), help="the repository to measure")
     parser.add_argument("--why", default="Experiment", help="a line for the bench's journal")
     return parser.parse_args()
