Act on nothing that ran out during a pause; cut nothing off at a stop

Cause, looked for after reports of operators of similar systems: - A process that wakes opened flows by registrations from before its pause, and refused flows of routes that had come meanwhile. The clock stood still while a machine was suspended, so verdicts and ages outlasted it. - An instance that stops left the requests of other instances that wait for changes without an answer, and packets in its socket's buffer unread when the shutdown timeout ended the stop. - A failed connection check reset flows whose requests are not idempotent. If the upstream was only silent, its answer was lost, and the client repeats such a request on no other flow. - A second copy of an answer, late on a connection in use: not possible, the dispatch id differs; a test shows it. A restarted instance uses only what is registered: a test shows it.

Change: SteadyClock counts suspended time. PauseGuard notices a pause of a second; until the store's data is confirmed, at most 500 ms, opening packets are dropped (clients repeat them after 200 ms) and open flows go on. PeerExchange answers waiting requests at a stop and rejects new ones. Packets that have arrived are forwarded before the process ends. Flows of non-idempotent routes are not reset on suspicion (option "resetNonIdempotentFlows").

--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -21,6 +21,7 @@
     "store-regained",
     "store-restored",
     "registration-outdated",
+    "pause-noticed",
     "snapshot-taken",
     "configuration-applied",
     "configuration-ignored",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -28,6 +28,8 @@
   StoreRestored,
   /// The restored store has an older registration than what was known.
   RegistrationOutdated,
+  /// The process was paused or delayed.
+  PauseNoticed,
   /// A snapshot was loaded from the store.
   SnapshotTaken,
   ConfigurationApplied,
@@ -49,7 +51,7 @@
   LinesSuppressed
 };
 
-constexpr size_t LogEventCount = 22;
+constexpr size_t LogEventCount = 23;
 
 std::string_view nameOf(LogEvent Value);
 
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -68,7 +68,8 @@
   for (auto It = Begin; It != End; ++It) {
     SteeredFlow *Flow = Flows.find(It->second);
     if (Flow == nullptr || Flow->Upstream != Id || !Flow->HasRetransmitted ||
-        Flow->CurrentPhase != SteeredFlow::Phase::Open)
+        Flow->CurrentPhase != SteeredFlow::Phase::Open ||
+        !mayResetOnSuspicion(It->second))
       continue;
     PacketHeader Packet;
     Packet.Flow = It->second;
@@ -87,6 +88,8 @@
   // route, so it must not be reset.
   if (!Routes.isLoaded())
     return {SteeringAction::Drop, SteeringReason::NoConfiguration, nullptr};
+  if (Packet.IsOpening && FlowHooks.IsOutdated())
+    return {SteeringAction::Drop, SteeringReason::Paused, nullptr};
   SteeredFlow *Flow = Flows.find(Packet.Flow);
   return Packet.IsOpening ? steerOpening(Packet, Flow)
                           : steerLaterPacket(Packet, Flow);
@@ -238,22 +241,32 @@
 // reset breaks a working flow, while a missing reset only makes the client wait
 // for its timeout.
 std::optional<SteeringReason>
-FlowSteering::reasonToReset(const Upstream &Target,
+FlowSteering::reasonToReset(const PacketHeader &Packet, const Upstream &Target,
                             bool IsRetransmission) const {
   if (Upstreams.isAddressReused(Target))
     return SteeringReason::AddressReused;
-  if (Target.Reachability.isDead(TimeSource.now()))
+  if (Target.Reachability.isDead(TimeSource.now()) &&
+      mayResetOnSuspicion(Packet.Flow))
     return SteeringReason::UpstreamDead;
   if (IsRetransmission && Upstreams.isPresumedStopped(Target))
     return SteeringReason::UpstreamGone;
   return std::nullopt;
 }
 
+// A client repeats a non-idempotent request on no other flow. If the upstream
+// was only silent, its answer still comes; a reset would lose it.
+bool FlowSteering::mayResetOnSuspicion(const FlowAddress &Flow) const {
+  if (Opts.Checks.ResetNonIdempotentFlows)
+    return true;
+  const Route *MatchedRoute = Routes.find(Flow.ServiceAddress);
+  return MatchedRoute != nullptr && MatchedRoute->Idempotent;
+}
+
 SteeringDecision FlowSteering::forwardOrReset(const PacketHeader &Packet,
                                               SteeringReason Reason,
                                               bool IsRetransmission,
                                               Upstream &Target) {
-  const auto ResetReason = reasonToReset(Target, IsRetransmission);
+  const auto ResetReason = reasonToReset(Packet, Target, IsRetransmission);
   if (!ResetReason)
     return {SteeringAction::Forward, Reason, &Target};
   if (Packet.IsFinal || Packet.IsReset || Packet.DataBytes == 0)
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -36,6 +36,9 @@
     /// Asks the caller to reset a flow without a packet to decide on. The
     /// packet has the flow's address and last acknowledgement number.
     std::function<void(const PacketHeader &, const SteeringDecision &)> OnReset;
+    /// Returns whether what is known of the store may be out of date after a
+    /// pause of the process. Opening packets are then dropped.
+    std::function<bool()> IsOutdated = [] { return false; };
   };
 
   FlowSteering(Options Opts, const Clock &TimeSource, RouteTable &Routes,
@@ -84,8 +87,11 @@
   /// data of the upstream.
   void recordAnswer(const PacketHeader &Packet, SteeredFlow &Flow,
                     Upstream &Target);
-  std::optional<SteeringReason> reasonToReset(const Upstream &Target,
+  std::optional<SteeringReason> reasonToReset(const PacketHeader &Packet,
+                                              const Upstream &Target,
                                               bool IsRetransmission) const;
+  /// Whether a flow may be reset although its upstream may only be silent.
+  bool mayResetOnSuspicion(const FlowAddress &Flow) const;
   void requestCheckIfDue(Upstream &Target);
   /// Resets the flows of a dead upstream whose clients wait for an answer.
   void resetWaitingFlows(Upstream &DeadUpstream);
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -9,6 +9,7 @@
 #include "flow_steering.h"
 #include "forwarder_report.h"
 #include "http_server.h"
+#include "pause_guard.h"
 #include "steady_clock.h"
 #include "steering_log.h"
 #include "udp_endpoint.h"
@@ -63,6 +64,7 @@
   void maintain();
   void stop();
   void finishStop();
+  void recordActivity();
   bool isReady() const {
     return !Drain && Routes.isLoaded() && Upstreams.isComplete();
   }
@@ -92,6 +94,7 @@
   TimePoint LastExpiry{};
   TimePoint LastPacketTime{};
   std::optional<DrainMonitor> Drain;
+  PauseGuard Pauses;
 };
 
 Forwarder::Impl::Impl(EventLoop &Loop, ForwarderSettings Settings,
@@ -114,6 +117,10 @@
                        const SteeringDecision &Decision) {
                   sendReset(Packet);
                   logDecision(Packet, Decision);
+                },
+                [this] {
+                  return Pauses.isOutdated(Follower.sync().confirmedAt(),
+                                           TimeSource.now());
                 }}),
       UpdateApplier(this->Protocol.DecodeItem, TimeSource, Log, Routes,
                     Upstreams, registrationLifetime(this->Settings)),
@@ -240,8 +247,18 @@
   DataSocket.setReceiving(true);
 }
 
-void Forwarder::Impl::receive(std::string_view Datagram) {
+// Packets that arrived during a pause are read before any timer fires, so each
+// of them checks for a pause as well.
+void Forwarder::Impl::recordActivity() {
   TimeSource.refresh();
+  if (!Pauses.recordActivity(TimeSource.now()))
+    return;
+  Log.write(LogEvent::PauseNoticed, [this] { return storeStateFields(); });
+  Follower.confirmNow();
+}
+
+void Forwarder::Impl::receive(std::string_view Datagram) {
+  recordActivity();
   PacketHeader Packet;
   if (!Protocol.DecodePacket(Datagram, Packet)) {
     ++InvalidDatagrams;
@@ -285,7 +302,7 @@
 }
 
 void Forwarder::Impl::maintain() {
-  TimeSource.refresh();
+  recordActivity();
   Upstreams.recordStoreSync(Follower.sync().confirmedAt());
   UpdateApplier.applyDue();
   if (TimeSource.now() - LastExpiry >= ExpiryPeriod) {
@@ -300,6 +317,7 @@
   if (Drain)
     return;
   Drain.emplace(TimeSource.now(), Settings.StopLimit);
+  Follower.stop();
   Log.write(LogEvent::Stopping, [this] {
     return EventLog::Fields{{"flows", Steering.flows()}};
   });
@@ -319,6 +337,8 @@
                             {"quiet", TrafficStopped}};
   });
   writePending(Log, STDOUT_FILENO);
+  // Packets that have arrived are still forwarded.
+  DataSocket.receivePending();
   OnStop();
 }
 
--- a/src/peer_exchange.cpp
+++ b/src/peer_exchange.cpp
@@ -45,6 +45,10 @@
     return;
   }
   Peers.update(Request->Sender);
+  if (IsClosing) {
+    Respond({503, "this instance is stopping; ask another one", "text/plain"});
+    return;
+  }
   if (!Mirror.isLoaded()) {
     Respond({503, "nothing is known of the store yet", "text/plain"});
     return;
@@ -95,6 +99,11 @@
            "application/octet-stream"});
 }
 
+void PeerExchange::close() {
+  IsClosing = true;
+  answerPendingRequests();
+}
+
 void PeerExchange::answerPendingRequests() {
   std::list<PendingRequest> RequestsToAnswer;
   RequestsToAnswer.swap(PendingRequests);
--- a/src/peer_exchange.h
+++ b/src/peer_exchange.h
@@ -43,6 +43,10 @@
   void ask(Endpoint Peer, StorePosition After, Duration Wait, Timeouts Limits,
            AnswerHook OnAnswer);
 
+  /// Answers all pending requests and rejects new ones, before this instance
+  /// stops.
+  void close();
+
   /// Answers all pending requests. Called when an answer confirms the data at a
   /// later time than before (see StoreSync::confirmedAt).
   void answerPendingRequests();
@@ -77,6 +81,7 @@
   /// Changes up to CachedPosition. The key is the position that the peer has.
   std::map<StorePosition, CompressedChanges> CachedChanges;
   StorePosition CachedPosition;
+  bool IsClosing = false;
 };
 
 } // namespace indigopoint
--- a/src/policy_options.h
+++ b/src/policy_options.h
@@ -59,6 +59,10 @@
   bool UseReference = true;
   /// Reset the flows of a dead upstream that wait for an answer.
   bool ResetWaitingFlows = true;
+  /// Reset flows of a dead upstream also if their requests are not idempotent.
+  /// Their clients get an answer sooner, but lose that of an upstream that was
+  /// only silent.
+  bool ResetNonIdempotentFlows = false;
   bool operator==(const CheckOptions &) const = default;
 };
 
--- a/src/policy_settings.cpp
+++ b/src/policy_settings.cpp
@@ -44,6 +44,7 @@
   Reader.boolean("atRetransmission", Out.AtRetransmission);
   Reader.boolean("useReference", Out.UseReference);
   Reader.boolean("resetWaitingFlows", Out.ResetWaitingFlows);
+  Reader.boolean("resetNonIdempotentFlows", Out.ResetNonIdempotentFlows);
 }
 
 void readStoreSharing(SettingsReader &Reader, StoreSharingOptions &Out) {
--- a/src/steady_clock.h
+++ b/src/steady_clock.h
@@ -1,15 +1,22 @@
 #pragma once
 
+#include <ctime>
+
 #include "clock.h"
 
 namespace indigopoint {
 
-/// The monotonic clock of the system.
+/// The monotonic clock of the system. It also counts the time for which the
+/// machine was suspended, since whatever is valid for a limited time runs out
+/// meanwhile.
 class SteadyClock : public Clock {
 public:
   TimePoint now() const override {
-    return std::chrono::time_point_cast<Duration>(
-        std::chrono::steady_clock::now());
+    timespec Time{};
+    clock_gettime(CLOCK_BOOTTIME, &Time);
+    return TimePoint(std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(Time.tv_sec) +
+        std::chrono::nanoseconds(Time.tv_nsec)));
   }
 };
 
--- a/src/steering_decision.h
+++ b/src/steering_decision.h
@@ -27,6 +27,9 @@
   TaggedFlow,
   /// No configuration has been applied yet.
   NoConfiguration,
+  /// The instance was paused, and what it knows of the store may be out of
+  /// date. The client repeats the opening packet.
+  Paused,
   /// No route matches the address. New flows are reset, so that the client can
   /// try another address; packets of unknown flows are dropped.
   NoRoute,
@@ -47,7 +50,7 @@
 };
 
 constexpr size_t SteeringActionCount = 3;
-constexpr size_t SteeringReasonCount = 13;
+constexpr size_t SteeringReasonCount = 14;
 
 std::string_view nameOf(SteeringAction Value);
 std::string_view nameOf(SteeringReason Value);
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -37,7 +37,8 @@
   void startCallIfDue();
   void schedule();
   void askStore(const StoreQuery &Query);
-  void onResult(const StoreQuery &Query, StoreResult Result);
+  void onResult(const StoreQuery &Query, uint64_t CallNumber,
+                StoreResult Result);
   void applyUpdate(const StoreSync::Update &Update);
   void applyRetained(const StoreResult &Result);
   void logRestoration(StorePosition PositionBefore);
@@ -64,6 +65,8 @@
   LoopEvent ContactTimer;
   Duration ContactPeriod = FirstContactPeriod;
   Calls CallCounts;
+  /// Number of the last call. Results of earlier calls are ignored.
+  uint64_t LastCall = 0;
   uint64_t Restorations = 0;
 };
 
@@ -95,8 +98,8 @@
   const StorePosition After{Sync.position().Era, Query.AfterRevision};
   Exchange.ask(*Query.Peer, After, Query.Wait,
                {Query.Timeout, Query.IdleTimeout},
-               [this, Query](StoreResult Result) {
-                 onResult(Query, std::move(Result));
+               [this, Query, Call = ++LastCall](StoreResult Result) {
+                 onResult(Query, Call, std::move(Result));
                });
 }
 
@@ -105,13 +108,16 @@
   Call.To = Store;
   Call.IdleTimeout = Query.IdleTimeout;
   Call.Timeout = Query.Timeout;
-  Http.call(Call, [this, Query](const HttpResult &Answer) {
-    onResult(Query, Protocol.DecodeResult(Query, Answer));
-  });
+  Http.call(Call,
+            [this, Query, CallNumber = ++LastCall](const HttpResult &Answer) {
+              onResult(Query, CallNumber, Protocol.DecodeResult(Query, Answer));
+            });
 }
 
-void StoreFollower::Impl::onResult(const StoreQuery &Query,
+void StoreFollower::Impl::onResult(const StoreQuery &Query, uint64_t CallNumber,
                                    StoreResult Result) {
+  if (CallNumber != LastCall)
+    return;
   TimeSource.refresh();
   const uint32_t FailuresBefore = Sync.failures();
   const TimePoint ConfirmedBefore = Sync.confirmedAt();
@@ -235,6 +241,14 @@
   PImpl->Peers.setSeeds(Settings.Seeds);
 }
 
+void StoreFollower::confirmNow() {
+  ++PImpl->LastCall;
+  PImpl->Sync.abandonCall();
+  PImpl->startCallIfDue();
+}
+
+void StoreFollower::stop() { PImpl->Exchange.close(); }
+
 const StoreSync &StoreFollower::sync() const { return PImpl->Sync; }
 
 Duration StoreFollower::dataAge() const { return PImpl->dataAge(); }
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -46,6 +46,13 @@
   /// Applies changed settings, except listening addresses.
   void reload(const ForwarderSettings &Settings);
 
+  /// Has the current data confirmed at once, after a pause of the process. A
+  /// call that was pending may not be answered any more.
+  void confirmNow();
+
+  /// Answers instances that wait for changes, before this one stops.
+  void stop();
+
   const StoreSync &sync() const;
 
   /// Returns the number of other instances that were recently heard from.
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -62,12 +62,19 @@
   Query.AfterRevision = Position.Revision;
   // After a failure, a watch without wait detects sooner that the store is
   // reachable again.
-  if (Failures == 0 || IsPeerCall)
+  if ((Failures == 0 || IsPeerCall) && !NeedsConfirmation)
     Query.Wait = Target.Wait;
+  NeedsConfirmation = false;
   Query.Timeout += Query.Wait;
   return Query;
 }
 
+void StoreSync::abandonCall() {
+  IsCallPending = false;
+  NeedsConfirmation = true;
+  NextCallTime = TimeSource.now();
+}
+
 std::optional<StoreSync::Update> StoreSync::onResult(StoreResult Result) {
   IsCallPending = false;
   NextCallTime = TimeSource.now();
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -149,6 +149,10 @@
   /// Returns the call that is due, with \p Target as its target.
   StoreQuery start(const SyncSource &Target);
 
+  /// Gives up the pending call, whose result must not be passed on. The next
+  /// call is due now and is answered without a wait.
+  void abandonCall();
+
   /// Returns when the next call is due.
   TimePoint nextCallAt() const { return NextCallTime; }
 
@@ -184,6 +188,8 @@
   RandomSource &Random;
   Duration DelayAfterChange;
   bool IsCallPending = false;
+  /// Whether the next call has to confirm the current data at once.
+  bool NeedsConfirmation = false;
   bool IsPeerCall = false;
   bool SnapshotLoaded = false;
   bool NeedsSnapshot = true;
--- a/src/udp_endpoint.cpp
+++ b/src/udp_endpoint.cpp
@@ -183,6 +183,8 @@
   ++PImpl->QueuedCount;
 }
 
+void UdpEndpoint::receivePending() { PImpl->receive(); }
+
 void UdpEndpoint::flush() { PImpl->flush(); }
 
 const UdpEndpoint::Counters &UdpEndpoint::counters() const {
--- a/src/udp_endpoint.h
+++ b/src/udp_endpoint.h
@@ -50,6 +50,10 @@
   /// Queues the datagram in nextBuffer.
   void commit(Endpoint To);
 
+  /// Receives what is in the socket's buffer now, also while receiving is
+  /// stopped.
+  void receivePending();
+
   /// Sends the queued datagrams.
   void flush();
 
--- a/tests/flow_exchange_test.cpp
+++ b/tests/flow_exchange_test.cpp
@@ -76,6 +76,34 @@
   EXPECT_EQ(averageOf(Id), std::nullopt);
 }
 
+// Guards against a lost answer: an upstream that was only silent for a moment
+// answers later, and a client does not repeat a non-idempotent request.
+TEST_F(FlowExchangeTest, SilentUpstreamKeepsNonIdempotentFlows) {
+  configure(2, {{"chat", ChatAddress, {{"chat", 1}}, false}});
+  const uint64_t Id = openAtDeadUpstream();
+  ASSERT_TRUE(
+      Upstreams.find(UpstreamId(Id))->Reachability.isDead(TimeSource.now()));
+  EXPECT_TRUE(ResetFlows.empty());
+  EXPECT_EQ(Steering.steer(data(1, Id, 500)).Action, SteeringAction::Forward);
+  EXPECT_NE(open(3), Id);
+}
+
+// Guards against flows that are opened, or refused, by what was known before a
+// pause. Open flows go on.
+TEST_F(FlowExchangeTest, NoFlowIsOpenedByOutdatedData) {
+  const uint64_t Id = open(1);
+  IsOutdated = true;
+  for (const Endpoint Address : {ChatAddress, UnknownAddress}) {
+    const SteeringDecision Decision = Steering.steer(opening(2, Address));
+    EXPECT_EQ(Decision.Action, SteeringAction::Drop);
+    EXPECT_EQ(Decision.Reason, SteeringReason::Paused);
+  }
+  EXPECT_EQ(Steering.steer(data(1, Id, 600)).Action, SteeringAction::Forward);
+  IsOutdated = false;
+  EXPECT_EQ(Steering.steer(opening(2, ChatAddress, 1)).Action,
+            SteeringAction::Forward);
+}
+
 // Packets of an upload overtake each other. Guards against connection checks
 // of upstreams that work, and against resets of their flows.
 TEST_F(FlowExchangeTest, ReorderedPacketsAreNoRetransmission) {
--- a/tests/owner_connection_test.cpp
+++ b/tests/owner_connection_test.cpp
@@ -35,6 +35,22 @@
   EXPECT_EQ(serveAndGetConnection(1), First);
 }
 
+// Guards against a second copy of an answer that arrives late, while the next
+// request of the flow is in progress on the same connection.
+TEST_F(OwnerConnectionTest, SecondCopyOfAnAnswerIsNoAnswerToTheNextRequest) {
+  submit(submission(1, Chat, 1));
+  const Dispatch First = takeOneSent<Dispatch>();
+  answer(First, Chat);
+  ASSERT_EQ(takeSent<SubmitResult>().size(), 1U);
+  submit(submission(2, Chat, 1));
+  const Dispatch Second = takeOneSent<Dispatch>();
+  ASSERT_EQ(Second.Connection, First.Connection);
+  answer(First, Chat);
+  EXPECT_TRUE(takeSent<SubmitResult>().empty());
+  answer(Second, Chat);
+  EXPECT_EQ(takeSent<SubmitResult>().size(), 1U);
+}
+
 // Guards against a new owner process that reuses a connection id of an earlier
 // process.
 TEST(ConnectionIdSourceTest, ProcessesUseDifferentIds) {
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -141,6 +141,24 @@
   EXPECT_TRUE(ask(3, 0s, 2).Retained.empty());
 }
 
+// Guards against requests that are cut off without an answer when an instance
+// stops as planned.
+TEST_F(PeerExchangeTest, StoppingInstanceAnswersPendingRequests) {
+  Server.Mirror.apply({StoreSync::Update::Content::Snapshot, {}}, {0, 9});
+  std::vector<StoreResult> Results;
+  for (int Count = 0; Count < 20; ++Count)
+    Client.Exchange.ask(
+        ServerAddress, {0, 9}, 5s, {5s},
+        [&](StoreResult Reply) { Results.push_back(std::move(Reply)); });
+  runFor(Loop, 100ms);
+  ASSERT_TRUE(Results.empty());
+  Server.Exchange.close();
+  ASSERT_TRUE(runUntil(Loop, [&] { return Results.size() == 20; }));
+  for (const StoreResult &Result : Results)
+    EXPECT_EQ(Result.ResultStatus, StoreResult::Status::Answered);
+  EXPECT_EQ(ask(9, 5s).ResultStatus, StoreResult::Status::Failed);
+}
+
 TEST_F(PeerExchangeTest, RequestIsAnsweredAfterWaitTime) {
   Server.Mirror.apply({StoreSync::Update::Content::Snapshot, {}}, {0, 9});
   const StoreResult Result = ask(9, 50ms);
--- a/tests/steering_log_test.cpp
+++ b/tests/steering_log_test.cpp
@@ -98,6 +98,9 @@
       return steer(data(1, 11));
     case SteeringReason::NoConfiguration:
       return runNoConfigurationCase();
+    case SteeringReason::Paused:
+      IsOutdated = true;
+      return steer(opening(1));
     case SteeringReason::NoRoute:
       return steer(opening(1, UnknownAddress));
     case SteeringReason::RouteRemoved:
--- a/tests/store_restoration_test.cpp
+++ b/tests/store_restoration_test.cpp
@@ -281,6 +281,24 @@
   EXPECT_EQ(Behind.service(), "chat");
 }
 
+// Guards against an upstream or a route that had gone before an instance was
+// restarted, and is in use again after.
+TEST_F(StoreRestorationTest, RestartedInstanceUsesOnlyWhatIsRegistered) {
+  Store.remove(upstreamKey(2));
+  Store.put("config", "9 photos");
+  ModelInstance Behind(TimeSource);
+  Behind.follow(Store);
+  Store.remove(upstreamKey(3));
+  ModelInstance Restarted(TimeSource);
+  Restarted.follow(Store);
+  // A peer that lags has nothing new.
+  Restarted.askPeer(Behind);
+  EXPECT_EQ(Restarted.state(1), UpstreamState::Ready);
+  EXPECT_EQ(Restarted.state(2), std::nullopt);
+  EXPECT_EQ(Restarted.state(3), std::nullopt);
+  EXPECT_EQ(Restarted.service(), "photos");
+}
+
 // An older store sends no era. It works as before.
 TEST_F(StoreRestorationTest, StoreWithoutErasIsFollowed) {
   ModelInstance Other(TimeSource);
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -259,6 +259,19 @@
   EXPECT_EQ(Update->Items.size(), 1U);
 }
 
+// Guards against a process that waits after a pause for the answer of a call
+// from before.
+TEST_F(StoreSyncTest, AbandonedCallIsFollowedByOneWithoutWait) {
+  readSnapshot();
+  ASSERT_TRUE(startCallIfDue());
+  Sync.abandonCall();
+  const auto Query = startCallIfDue();
+  ASSERT_TRUE(Query);
+  EXPECT_EQ(Query->Wait, 0s);
+  Sync.onResult(makeAnswer(11));
+  EXPECT_EQ(nextCall().Wait, 3s);
+}
+
 TEST_F(StoreSyncTest, OnlyOneCallIsPending) {
   ASSERT_TRUE(startCallIfDue());
   TimeSource.advance(10s);
