Split request_lifecycle: record history and retry budgets of their own

Change: hasNeverRun is a function of record_history, the retry budgets with their log line are ServiceRetries. No behaviour changes.

--- a/src/request_lifecycle.cpp
+++ b/src/request_lifecycle.cpp
@@ -4,6 +4,7 @@
 
 #include "blackboard.h"
 #include "peer_link.h"
+#include "record_history.h"
 
 namespace indigopoint {
 
@@ -36,16 +37,6 @@
 // to each other could pass a request on forever.
 constexpr uint32_t MaxMovesWithoutRetryBudget = 3;
 
-// Whether a member that was declared dead may be alive on the other side of a
-// network partition: the platform still lists the member, and no new process
-// has replaced it.
-bool isPartitionPossible(const MemberTable &Members) {
-  return std::any_of(
-      Members.ById.begin(), Members.ById.end(), [](const auto &Entry) {
-        return Entry.second.State == MemberState::Dead && Entry.second.Listed;
-      });
-}
-
 } // namespace
 
 RequestLifecycle::RequestLifecycle(Blackboard &GivenBoard, PeerLink &GivenPeers,
@@ -59,28 +50,6 @@
       NextSubmitId(rendezvousScore(Board.Self.OwnIncarnation.Boot.value(),
                                    Board.Self.Id.value())) {}
 
-// Whether the absence of a record proves that no copy of the request has run.
-// The first copy (attempt 0) needs records that are complete for the maximum
-// lifetime of a packet, a retransmission needs records that are complete since
-// the first copy was sent plus that lifetime.
-bool RequestLifecycle::hasNeverRun(uint32_t Bucket, uint32_t Attempt,
-                                   Duration Age) const {
-  const auto RecordHistoryLength =
-      Board.now() - Board.CurrentOwnership.completeSince(Bucket);
-  if (Attempt == 0)
-    return RecordHistoryLength >= MaxPacketLifetime;
-  // On the other side of a partition another home instance may serve the same
-  // bucket, and an earlier copy may have reached that instance.
-  if (isPartitionPossible(Board.Members))
-    return false;
-  // The record of an earlier copy may have expired.
-  if (Age >= MaxRequestLifetime)
-    return false;
-  const Duration TimeSinceFirstSend =
-      Age > Duration() ? Age : MaxRequestLifetime;
-  return RecordHistoryLength >= TimeSinceFirstSend + MaxPacketLifetime;
-}
-
 void RequestLifecycle::accept(Endpoint Caller, Request &&CallerRequest,
                               ActionSink &Sink) {
   const RequestKey Key{CallerRequest.Flow, CallerRequest.Service,
@@ -88,7 +57,7 @@
   RequestRecord &Record = Requests.insert(Key, Board.now());
   Record.Caller = Caller;
   Record.Idempotent = CallerRequest.Idempotent;
-  Record.MayHaveRun = !hasNeverRun(bucketOf(CallerRequest.Flow),
+  Record.MayHaveRun = !hasNeverRun(Board, bucketOf(CallerRequest.Flow),
                                    CallerRequest.Attempt, CallerRequest.Age);
   start(Record, std::move(CallerRequest), Sink);
 }
@@ -123,7 +92,7 @@
     finishUnanswered(Record, DefaultRetryAfter, Sink);
     return;
   }
-  RetryBudgets[Service->Id].Budget.onRequest(Board.now());
+  Retries.onRequest(Service->Id, Board.now());
   ++Flow->InProgress;
   Record.Payload = std::move(CallerRequest.Payload);
   submitTo(Record, Flow->Upstream, Duration(), Sink);
@@ -371,32 +340,18 @@
 
 bool RequestLifecycle::tryAcquireRetry(RequestRecord &Record, Duration Delay,
                                        ActionSink &Sink) {
-  const TimePoint Now = Board.now();
   if (!isTimeForRetry(Record, Delay))
     return false;
-  ServiceRetries &Service = RetryBudgets[Record.Key.Service];
-  if (!Service.Budget.tryAcquire(Now)) {
-    logBudgetUsedUp(Service, Record, Sink);
+  const ServiceConfig *Service = serviceOf(Record);
+  if (!Retries.tryAcquire(Record.Key.Service,
+                          Service == nullptr ? "?" : Service->Name, Board.now(),
+                          Sink))
     return false;
-  }
   ++Record.ActiveSubmission->Retries;
   ++MetricsCache.metricsOf(Record.Key.Service).Retries;
   return true;
 }
 
-void RequestLifecycle::logBudgetUsedUp(ServiceRetries &Service,
-                                       const RequestRecord &Record,
-                                       ActionSink &Sink) {
-  if (Board.now() < Service.NextLog)
-    return;
-  Service.NextLog = Board.now() + LogInterval;
-  const ServiceConfig *Config = serviceOf(Record);
-  Sink.log(LogLevel::Warning, "flow",
-           "retry budget of service " +
-               (Config == nullptr ? std::string("?") : Config->Name) +
-               " is used up: failed requests are not retried");
-}
-
 // Returns zero if no upstream is available for the retry.
 UpstreamId RequestLifecycle::upstreamForRetry(RequestRecord &Record,
                                               bool UseOtherUpstream,
@@ -480,7 +435,8 @@
                        CancelMessage.Id};
   RequestRecord &Record = Requests.insert(Key, Board.now());
   Record.Caller = Caller;
-  Record.MayHaveRun = !hasNeverRun(bucketOf(CancelMessage.Flow), 1, Duration());
+  Record.MayHaveRun =
+      !hasNeverRun(Board, bucketOf(CancelMessage.Flow), 1, Duration());
   Record.ActiveSubmission = std::make_unique<Submission>();
   ++InProgress;
   finishUnanswered(Record, Duration(), Sink);
--- a/src/request_lifecycle.h
+++ b/src/request_lifecycle.h
@@ -8,8 +8,8 @@
 #include "flow_pinning.h"
 #include "messages.h"
 #include "request_table.h"
-#include "retry_budget.h"
 #include "service_metrics_cache.h"
+#include "service_retries.h"
 
 namespace indigopoint {
 
@@ -59,11 +59,6 @@
     bool operator>(const WakeUp &Other) const { return DueAt > Other.DueAt; }
   };
 
-  struct ServiceRetries {
-    RetryBudget Budget;
-    TimePoint NextLog{};
-  };
-
   void start(RequestRecord &Record, Request &&CallerRequest, ActionSink &Sink);
   void submitTo(RequestRecord &Record, UpstreamId Upstream, Duration Delay,
                 ActionSink &Sink);
@@ -81,15 +76,12 @@
                   ActionSink &Sink);
   bool isTimeForRetry(const RequestRecord &Record, Duration Delay) const;
   bool tryAcquireRetry(RequestRecord &Record, Duration Delay, ActionSink &Sink);
-  void logBudgetUsedUp(ServiceRetries &Service, const RequestRecord &Record,
-                       ActionSink &Sink);
   UpstreamId upstreamForRetry(RequestRecord &Record, bool UseOtherUpstream,
                               ActionSink &Sink);
   void finish(RequestRecord &Record, Outcome Result, Duration RetryAfter,
               std::string Answer, ActionSink &Sink);
   void finishUnanswered(RequestRecord &Record, Duration RetryAfter,
                         ActionSink &Sink);
-  bool hasNeverRun(uint32_t Bucket, uint32_t Attempt, Duration Age) const;
   bool isGone(InstanceId Instance) const;
   BootId bootOf(InstanceId Instance) const;
   const ServiceConfig *serviceOf(const RequestRecord &Record) const;
@@ -104,7 +96,7 @@
   uint64_t NextSubmitId = 0;
   uint32_t InProgress = 0;
   std::unordered_map<SubmitId, RequestRecord *> RecordsBySubmitId;
-  std::unordered_map<ServiceId, ServiceRetries> RetryBudgets;
+  ServiceRetries Retries;
   std::priority_queue<WakeUp, std::vector<WakeUp>, std::greater<>> WakeUps;
 };
 
