--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -18,12 +18,12 @@
 // the call.
 constexpr Duration PeerTimeout = std::chrono::milliseconds(200);
 
-// Maximum time for the transfer of a snapshot or a page of it. When all
-// instances start together, their answers share the network link of the store.
+// Maximum time for the transfer of a page of a snapshot or of changes. When all
+// instances ask together, their answers share the network link of the store.
 // A call that is given up while its answer arrives transfers everything again,
 // which delays all other instances, so only a call without progress is given up
 // earlier.
-constexpr Duration SnapshotTransferTimeout = std::chrono::seconds(8);
+constexpr Duration TransferTimeout = std::chrono::seconds(8);
 
 // Timers of an event loop count from the start of its iteration and so may fire
 // slightly early. A call that is due within this time is made immediately.
@@ -55,7 +55,7 @@
   if (NeedsSnapshot) {
     Query.AfterKey = LastKey;
     Query.IdleTimeout = Query.Timeout;
-    Query.Timeout += SnapshotTransferTimeout;
+    Query.Timeout += TransferTimeout;
     return Query;
   }
   Query.QueryKind = StoreQuery::Kind::Watch;
@@ -65,7 +65,9 @@
   if ((Failures == 0 || IsPeerCall) && !NeedsConfirmation)
     Query.Wait = Target.Wait;
   NeedsConfirmation = false;
-  Query.Timeout += Query.Wait;
+  // A large change is transferred to all instances at the same time.
+  Query.IdleTimeout = Query.Timeout + Query.Wait;
+  Query.Timeout = Query.IdleTimeout + TransferTimeout;
   return Query;
 }
 
