Specify evacuation, slow start and admission; read the urgency of routes

Cause: the store's configuration names a priority, a target response time and a time limit for each route, which nothing read, and zones can be evacuated. Change: docs/design/load-and-evacuation.md specifies the parts; Route holds the three values, and the types of a report between instances are defined.

--- /dev/null
+++ b/src/peer_report.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "types.h"
+
+namespace indigopoint {
+
+/// Evidence of one instance that an upstream does not answer.
+struct UpstreamEvidence {
+  UpstreamId Upstream;
+  /// Start of the upstream's process (see UpstreamRegistration), so that the
+  /// evidence does not apply to a later process with the same id.
+  int64_t StartedAtMs = 0;
+  /// Time since the evidence was found.
+  Duration Age{};
+  bool operator==(const UpstreamEvidence &) const = default;
+};
+
+/// The load of one service as one instance sees it from its own flows.
+struct ServiceLoad {
+  std::string Service;
+  double OpeningsPerSecond = 0;
+  /// Number of requests that wait for an answer.
+  double OpenExchanges = 0;
+  bool operator==(const ServiceLoad &) const = default;
+};
+
+/// What an instance tells the other instances of its zone.
+struct PeerReport {
+  /// The sender's peer address, which identifies it (see PeerInfo).
+  Endpoint Sender;
+  std::string Zone;
+  /// Rises with each report of a sender's process.
+  uint64_t Sequence = 0;
+  std::vector<UpstreamEvidence> Evidence;
+  std::vector<ServiceLoad> Loads;
+  bool operator==(const PeerReport &) const = default;
+};
+
+} // namespace indigopoint
--- a/tests/store_codec_test.cpp
+++ b/tests/store_codec_test.cpp
@@ -164,6 +164,31 @@
             (std::vector<RouteShare>{{"chat", 90}, {"photos", 10}}));
 }
 
+// A rank that cannot be used must not keep the configuration's other changes
+// from coming into force.
+TEST(StoreCodecTest, ImplausibleUrgencyLeavesARouteUnranked) {
+  const auto Route = [](const std::string &Fields) {
+    return std::get<RouteConfiguration>(
+               decodeItem(configurationItem(
+                   R"({"Version":7,"Routes":[{"Name":"a","Host":"1.2.3.4",)"
+                   R"("Prefix":"/80/","Service":"chat")" +
+                   Fields + "}]}")))
+        .Routes.at(0);
+  };
+  const auto Ranked = Route(R"(,"Priority":1,"AimMs":500,"TimeoutMs":2000)");
+  EXPECT_EQ(Ranked.Priority, 1U);
+  EXPECT_EQ(Ranked.Aim, 500ms);
+  EXPECT_EQ(Ranked.TimeLimit, 2s);
+  for (const std::string Fields :
+       {"", R"(,"Priority":-1,"AimMs":"500","TimeoutMs":true)",
+        R"(,"Priority":1.5,"AimMs":1e30,"TimeoutMs":null)"}) {
+    const auto Unranked = Route(Fields);
+    EXPECT_FALSE(Unranked.Priority) << Fields;
+    EXPECT_EQ(Unranked.Aim, 0ms) << Fields;
+    EXPECT_EQ(Unranked.TimeLimit, 0ms) << Fields;
+  }
+}
+
 TEST(StoreCodecTest, RejectsAnInvalidConfigurationAsAWhole) {
   for (const std::string Value :
        {"", "7", R"({"Routes":[]})", R"({"Version":"7","Routes":[]})",
