Send no new flows to a zone that an operator evacuates

Ruled out: treating the zone's upstreams as draining, since a renewal of a registration would end that, and a restoration would confuse the two. A missing key of a restored store stays in force for 2.5 s. Log events, a gauge, a counter of new flows and a list in /status show it.

--- a/scripts/check_platform_words.sh
+++ b/scripts/check_platform_words.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 words='kv-(key|range|watch|txn|lease|keep)|ColdLeftMs|StoreRevision|CreateRev'
 words+='|StaleOk|HasMore|HeartbeatMs|IdleTimeoutMs|RouteType'
-words+='|INDIGOPOINT_NODE_FILE|op/config|"servers/|/readiness'
+words+='|INDIGOPOINT_NODE_FILE|op/config|op/evacuate|"servers/|/readiness'
 if git grep -nE "$words" -- src measure bench soak \
   standins ":!standins/flow_platform.py"; then
   echo "identifiers of the platform's API are only allowed in platform/"
--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -26,6 +26,8 @@
     "configuration-applied",
     "configuration-ignored",
     "upstream-changed",
+    "evacuation-started",
+    "evacuation-ended",
     "entry-unreadable",
     "upstream-silent",
     "upstream-checked",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -35,6 +35,10 @@
   ConfigurationApplied,
   ConfigurationIgnored,
   UpstreamChanged,
+  /// An operator asked that a zone's upstreams get no new flows, or withdrew
+  /// that.
+  EvacuationStarted,
+  EvacuationEnded,
   /// An item of the store could not be decoded.
   EntryUnreadable,
   /// The opening packet of a flow timed out at the upstream.
@@ -51,7 +55,7 @@
   LinesSuppressed
 };
 
-constexpr size_t LogEventCount = 23;
+constexpr size_t LogEventCount = 25;
 
 std::string_view nameOf(LogEvent Value);
 
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -112,7 +112,15 @@
                              checkPreviousOpening(Packet.Flow));
   Upstream *CurrentUpstream = Upstreams.find(Flow->Upstream);
   Flow->LastSeen = TimeSource.now();
-  if (Flow->CurrentPhase != SteeredFlow::Phase::Opening || !IsRetransmission)
+  // A delayed first copy must not reach an upstream that takes no new flows any
+  // more.
+  const bool IsOpening = Flow->CurrentPhase == SteeredFlow::Phase::Opening;
+  const bool MayMove =
+      IsOpening &&
+      (IsRetransmission ||
+       (CurrentUpstream != nullptr &&
+        Upstreams.evacuations().contains(CurrentUpstream->Registration.Zone)));
+  if (!MayMove)
     return CurrentUpstream != nullptr
                ? forwardUnlessAddressReused(SteeringReason::RepeatedOpening,
                                             *CurrentUpstream)
@@ -166,6 +174,8 @@
   ServiceFlowMetrics &Service = Metrics.service(Target->Registration.Service);
   ++(Target->Registration.Zone == Opts.Zone ? Service.OpenedInZone
                                             : Service.OpenedInOtherZones);
+  if (Upstreams.evacuations().contains(Opts.Zone))
+    ++Service.OpenedDuringEvacuation;
   return forwardUnlessAddressReused(IsMoved ? SteeringReason::MovedOpening
                                             : SteeringReason::NewFlow,
                                     *Target);
@@ -195,7 +205,7 @@
 bool FlowSteering::canAssignFlow(const Upstream &Target,
                                  const FlowAddress &Flow) {
   const FlowTag Tag = tagOf(Flow, Target.Registration.Id);
-  return Target.State == UpstreamState::Ready &&
+  return Upstreams.takesNewFlows(Target) &&
          Upstreams.findByTag(Flow, Tag) == &Target;
 }
 
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -198,8 +198,8 @@
 }
 
 ForwarderView Forwarder::Impl::view() const {
-  return {Metrics, Routes,           Upstreams,        Follower,
-          Log,     Steering.flows(), InvalidDatagrams, isReady()};
+  return {Metrics,          Routes,           Upstreams, Follower,        Log,
+          Steering.flows(), InvalidDatagrams, isReady(), TimeSource.now()};
 }
 
 void Forwarder::Impl::logOpenTimeout(const FlowAddress &Flow,
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -93,6 +93,10 @@
                 {{"service", Name}, {"zone", "other"}},
                 Service.OpenedInOtherZones);
   }
+  for (const auto &[Name, Service] : View.Metrics.services())
+    Out.counter("indigopoint_flows_evacuated_total",
+                "New flows sent to other zones while the own one is evacuated.",
+                {{"service", Name}}, Service.OpenedDuringEvacuation);
   for (const auto &[Name, Service] : View.Metrics.services())
     // Opening packets that were not followed by another packet of the flow
     // before the open timeout.
@@ -133,6 +137,8 @@
     Out.gauge("indigopoint_upstreams", "Upstreams by state.",
               {{"state", std::string(nameOf(State))}},
               static_cast<double>(View.Upstreams.count(State)));
+  Out.gauge("indigopoint_evacuated_zones", "Zones that are evacuated.", {},
+            static_cast<double>(View.Upstreams.evacuations().zones().size()));
   const StoreFollower::Calls &Calls = View.Follower.calls();
   Out.counter("indigopoint_calls_total", "Calls by target and result.",
               {{"target", "store"}, {"result", "answered"}}, Calls.Store);
@@ -173,6 +179,10 @@
        {UpstreamState::Ready, UpstreamState::Draining,
         UpstreamState::Unregistered})
     Out["upstreams"][std::string(nameOf(State))] = View.Upstreams.count(State);
+  Out["evacuations"] = nlohmann::ordered_json::array();
+  for (const auto &[Zone, StartedAt] : View.Upstreams.evacuations().zones())
+    Out["evacuations"].push_back(
+        {{"zone", Zone}, {"ageMs", millisecondsOf(View.Now - StartedAt)}});
   return Out.dump(2);
 }
 
--- a/src/forwarder_report.h
+++ b/src/forwarder_report.h
@@ -22,6 +22,7 @@
   /// Datagrams that were not packets of a client.
   uint64_t InvalidDatagrams = 0;
   bool Ready = false;
+  TimePoint Now{};
 };
 
 /// Counters, gauges and histograms in the Prometheus text format.
--- a/src/restoration_review.cpp
+++ b/src/restoration_review.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-// A running upstream registers again within this time after the store's return.
+// A running upstream registers again within this time after the store's return,
+// and an operator writes a lost evacuation again.
 constexpr Duration ReRegistrationTime = std::chrono::milliseconds(2500);
 
 // Operators may write all lost versions again, one after the other. A lower
@@ -59,12 +60,25 @@
 }
 
 std::vector<UpstreamId> RestorationReview::takeMissing(TimePoint Now) {
-  if (keepsMissingUpstreams(Now))
+  if (keepsMissingItems(Now))
     return {};
   const std::set<UpstreamId> Ids = std::exchange(Missing, {});
   return {Ids.begin(), Ids.end()};
 }
 
+void RestorationReview::setMissingEvacuations(
+    const std::vector<std::string> &Zones) {
+  MissingEvacuations = {Zones.begin(), Zones.end()};
+}
+
+std::vector<std::string>
+RestorationReview::takeMissingEvacuations(TimePoint Now) {
+  if (keepsMissingItems(Now))
+    return {};
+  const std::set<std::string> Zones = std::exchange(MissingEvacuations, {});
+  return {Zones.begin(), Zones.end()};
+}
+
 std::vector<RestorationReview::HeldRegistration>
 RestorationReview::takeConfirmed(TimePoint Now) {
   std::vector<HeldRegistration> Out;
--- a/src/restoration_review.h
+++ b/src/restoration_review.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "route_table.h"
@@ -47,14 +48,27 @@
   /// written or deleted after the restoration.
   void release(UpstreamId Id);
 
-  /// Whether upstreams that the store does not have yet are still kept.
-  bool keepsMissingUpstreams(TimePoint Now) const { return Now < MissingUntil; }
+  /// Whether upstreams and evacuations that the store does not have yet are
+  /// still kept.
+  bool keepsMissingItems(TimePoint Now) const { return Now < MissingUntil; }
 
   void setMissing(const std::vector<UpstreamId> &Ids);
 
   /// Returns and forgets the upstreams that did not register again in time.
   std::vector<UpstreamId> takeMissing(TimePoint Now);
 
+  void setMissingEvacuations(const std::vector<std::string> &Zones);
+
+  /// Forgets that the evacuation of a zone is missing, because it was written
+  /// or deleted after the restoration.
+  void releaseEvacuation(const std::string &Zone) {
+    MissingEvacuations.erase(Zone);
+  }
+
+  /// Returns and forgets the zones whose evacuation was not written again in
+  /// time.
+  std::vector<std::string> takeMissingEvacuations(TimePoint Now);
+
   /// Returns and forgets the held registrations that outlasted their time.
   std::vector<HeldRegistration> takeConfirmed(TimePoint Now);
 
@@ -80,6 +94,7 @@
   TimePoint HoldUntil{};
   std::map<UpstreamId, HeldRegistration> Held;
   std::set<UpstreamId> Missing;
+  std::set<std::string> MissingEvacuations;
   uint64_t RestoredConfigurationRevision = 0;
   std::optional<RouteConfiguration> DeferredConfiguration;
   TimePoint DeferredUntil{};
--- a/src/steering_metrics.h
+++ b/src/steering_metrics.h
@@ -14,6 +14,8 @@
 struct ServiceFlowMetrics {
   uint64_t OpenedInZone = 0;
   uint64_t OpenedInOtherZones = 0;
+  /// New flows sent to other zones while this instance's zone is evacuated.
+  uint64_t OpenedDuringEvacuation = 0;
   /// Opening packets that were not answered within OpenTimeout.
   uint64_t OpenTimeouts = 0;
   /// Time from the opening packet to the client's next packet.
--- a/src/store_update_applier.cpp
+++ b/src/store_update_applier.cpp
@@ -17,7 +17,7 @@
   ContentKind = Update.ContentKind;
   IsFromRestoredStore = Update.IsFromRestoredStore;
   if (!Update.isSnapshotOrPage() || Update.startsSnapshot())
-    SnapshotUpstreams.clear();
+    clearSnapshot();
   if (IsFromRestoredStore && Update.startsSnapshot())
     Review.begin(TimeSource.now());
   for (const StoreItem &Item : Update.Items)
@@ -25,8 +25,15 @@
         Overloaded{[](const IgnoredItem &) {},
                    [&](const auto &Decoded) { applyItem(Item, Decoded); }},
         Decode(Item));
-  if (Update.endsSnapshot())
+  if (Update.endsSnapshot()) {
     removeMissingUpstreams();
+    endMissingEvacuations();
+  }
+}
+
+void StoreUpdateApplier::clearSnapshot() {
+  SnapshotUpstreams.clear();
+  SnapshotEvacuations.clear();
 }
 
 void StoreUpdateApplier::applyDue() {
@@ -35,6 +42,8 @@
     logUpstream(Id, Upstreams.remove(Id, Now), 0);
   for (const auto &Held : Review.takeConfirmed(Now))
     put(Held.Registration, Held.CreatedRevision, Held.CreatedRevision);
+  for (const std::string &Zone : Review.takeMissingEvacuations(Now))
+    endEvacuation(Zone, 0);
   if (const auto Config = Review.takeDeferredConfiguration(Now))
     replaceConfiguration(*Config, 0);
 }
@@ -148,6 +157,47 @@
             });
 }
 
+void StoreUpdateApplier::applyItem(const StoreItem &Item,
+                                   const ZoneEvacuation &Evacuation) {
+  const std::string &Zone = Evacuation.Zone;
+  Review.releaseEvacuation(Zone);
+  if (Evacuation.IsEnded) {
+    endEvacuation(Zone, Item.Revision);
+    return;
+  }
+  SnapshotEvacuations.push_back(Zone);
+  if (!Upstreams.evacuations().start(Zone, TimeSource.now()))
+    return;
+  Log.write(LogEvent::EvacuationStarted, [&] {
+    return EventLog::Fields{{"zone", Zone},
+                            {"upstreams", Upstreams.countInZone(Zone)},
+                            {"revision", Item.Revision}};
+  });
+}
+
+void StoreUpdateApplier::endEvacuation(const std::string &Zone,
+                                       uint64_t Revision) {
+  if (!Upstreams.evacuations().end(Zone))
+    return;
+  Log.write(LogEvent::EvacuationEnded, [&] {
+    return EventLog::Fields{{"zone", Zone},
+                            {"upstreams", Upstreams.countInZone(Zone)},
+                            {"revision", Revision}};
+  });
+}
+
+// A restored store may lack an evacuation that an operator is about to write
+// again, so it stays in force for as long as a missing upstream.
+void StoreUpdateApplier::endMissingEvacuations() {
+  const std::vector<std::string> MissingZones =
+      Upstreams.evacuations().missingFrom(SnapshotEvacuations);
+  if (Review.keepsMissingItems(TimeSource.now()))
+    Review.setMissingEvacuations(MissingZones);
+  else
+    for (const std::string &Zone : MissingZones)
+      endEvacuation(Zone, 0);
+}
+
 // An unreadable registration disables its upstream; open flows of the upstream
 // are kept.
 void StoreUpdateApplier::applyItem(const StoreItem &Item,
@@ -165,7 +215,7 @@
   const TimePoint Now = TimeSource.now();
   const std::vector<UpstreamId> MissingIds =
       Upstreams.missingFrom(SnapshotUpstreams);
-  if (Review.keepsMissingUpstreams(Now))
+  if (Review.keepsMissingItems(Now))
     Review.setMissing(MissingIds);
   else
     for (const UpstreamId Id : MissingIds)
--- a/src/store_update_applier.h
+++ b/src/store_update_applier.h
@@ -19,6 +19,12 @@
   UpstreamId Id;
 };
 
+/// An item that starts or ends the evacuation of a zone.
+struct ZoneEvacuation {
+  std::string Zone;
+  bool IsEnded = false;
+};
+
 /// An item that cannot be decoded.
 struct UnreadableItem {
   std::string Reason;
@@ -32,7 +38,7 @@
 /// The decoded content of one item of the store.
 using DecodedItem =
     std::variant<IgnoredItem, UpstreamRegistration, UpstreamRemoval,
-                 RouteConfiguration, UnreadableItem>;
+                 RouteConfiguration, ZoneEvacuation, UnreadableItem>;
 
 using ItemDecoder = std::function<DecodedItem(const StoreItem &)>;
 
@@ -65,6 +71,7 @@
                  const UpstreamRegistration &Registration);
   void applyItem(const StoreItem &Item, const UpstreamRemoval &Removal);
   void applyItem(const StoreItem &Item, const RouteConfiguration &Config);
+  void applyItem(const StoreItem &Item, const ZoneEvacuation &Evacuation);
   void applyItem(const StoreItem &Item, const UnreadableItem &Unreadable);
   void put(const UpstreamRegistration &Registration, uint64_t CreatedRevision,
            uint64_t Revision);
@@ -73,7 +80,10 @@
   void logConfiguration(const RouteConfiguration &Config,
                         const RouteTable::Change &Change,
                         ConfigVersion PreviousVersion, uint64_t Revision);
+  void clearSnapshot();
   void removeMissingUpstreams();
+  void endMissingEvacuations();
+  void endEvacuation(const std::string &Zone, uint64_t Revision);
   void logUpstream(UpstreamId Id, UpstreamRegistry::Change Change,
                    uint64_t Revision);
 
@@ -88,6 +98,8 @@
   bool IsFromRestoredStore = false;
   /// Upstreams that are registered in the snapshot that is being read.
   std::vector<UpstreamId> SnapshotUpstreams;
+  /// Zones that are evacuated in the snapshot that is being read.
+  std::vector<std::string> SnapshotEvacuations;
 };
 
 } // namespace indigopoint
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -131,6 +131,11 @@
   return LatestUpstream;
 }
 
+bool UpstreamRegistry::takesNewFlows(const Upstream &Target) const {
+  return Target.State == UpstreamState::Ready &&
+         !Evacuations.contains(Target.Registration.Zone);
+}
+
 bool UpstreamRegistry::isPresumedStopped(const Upstream &Target) const {
   return Target.State == UpstreamState::Unregistered &&
          LastStoreSync - Target.UnregisteredAt >= ReRegistrationTime &&
@@ -160,6 +165,14 @@
       [State](const auto &Entry) { return Entry.second.State == State; });
 }
 
+size_t UpstreamRegistry::countInZone(const std::string &Zone) const {
+  return std::count_if(
+      Upstreams.begin(), Upstreams.end(), [&Zone](const auto &Entry) {
+        return Entry.second.State != UpstreamState::Unregistered &&
+               Entry.second.Registration.Zone == Zone;
+      });
+}
+
 void UpstreamRegistry::addToIndexes(Upstream &Target) {
   TagGroups[tagGroupOf(Target.Registration.Id)].push_back(&Target);
   Services[Target.Registration.Service].push_back(&Target);
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "evacuation_table.h"
 #include "packet.h"
 #include "reachability_tracker.h"
 #include "response_time_tracker.h"
@@ -122,6 +123,14 @@
   /// address.
   bool isAddressReused(const Upstream &Target) const;
 
+  /// The zones that an operator evacuates.
+  EvacuationTable &evacuations() { return Evacuations; }
+  const EvacuationTable &evacuations() const { return Evacuations; }
+
+  /// Whether new flows may go to the upstream: it is registered, not draining
+  /// and not in an evacuated zone.
+  bool takesNewFlows(const Upstream &Target) const;
+
   /// All upstreams of a service, in any state.
   const std::vector<Upstream *> &
   upstreamsOfService(const std::string &Service) const;
@@ -129,6 +138,9 @@
   /// How many upstreams are in a state.
   size_t count(UpstreamState State) const;
 
+  /// How many registered upstreams are in a zone.
+  size_t countInZone(const std::string &Zone) const;
+
   size_t size() const { return Upstreams.size(); }
 
 private:
@@ -138,6 +150,7 @@
   ReachabilityOptions Opts;
   bool HasReadAllRegistrations = false;
   TimePoint LastStoreSync{};
+  EvacuationTable Evacuations;
   std::map<UpstreamId, Upstream> Upstreams;
   /// Upstreams by the part of a tag that depends on the upstream only.
   std::unordered_map<uint16_t, std::vector<Upstream *>> TagGroups;
--- a/tests/store_codec_test.cpp
+++ b/tests/store_codec_test.cpp
@@ -202,6 +202,20 @@
         << Value;
 }
 
+TEST(StoreCodecTest, DecodesAnEvacuationByItsKeyAlone) {
+  for (const std::string Value : {"{}", "", "x", R"({"Since":true})"}) {
+    const auto Started = std::get<ZoneEvacuation>(
+        decodeItem({"op/evacuate/lim-a", Value, 5, 5, false}));
+    EXPECT_EQ(Started.Zone, "lim-a");
+    EXPECT_FALSE(Started.IsEnded);
+  }
+  EXPECT_TRUE(std::get<ZoneEvacuation>(
+                  decodeItem({"op/evacuate/lim-a", "", 6, 0, true}))
+                  .IsEnded);
+  EXPECT_TRUE(std::holds_alternative<UnreadableItem>(
+      decodeItem({"op/evacuate/", "{}", 5, 5, false})));
+}
+
 TEST(StoreCodecTest, IgnoresOtherKeys) {
   EXPECT_TRUE(std::holds_alternative<IgnoredItem>(
       decodeItem({"status/x", "{}", 1, 1, false})));
--- a/tests/store_update_applier_test.cpp
+++ b/tests/store_update_applier_test.cpp
@@ -10,8 +10,8 @@
 using namespace std::chrono_literals;
 
 // Decodes an item by its key: "u1" registers upstream 1, "bad1" is an
-// unreadable registration of upstream 1, and "c7" is a configuration of
-// version 7.
+// unreadable registration of upstream 1, "c7" is a configuration of version 7,
+// and "e1" evacuates zone "1".
 DecodedItem decode(const StoreItem &Item) {
   const std::string &Key = Item.Key;
   if (Key.starts_with("bad"))
@@ -19,6 +19,8 @@
   const uint64_t Number = std::stoul(Key.substr(1));
   if (Key[0] == 'c')
     return RouteConfiguration{ConfigVersion(Number), {}, {}};
+  if (Key[0] == 'e')
+    return ZoneEvacuation{Key.substr(1), Item.Deleted};
   if (Item.Deleted)
     return UpstreamRemoval{UpstreamId(Number)};
   UpstreamRegistration Out;
@@ -119,5 +121,50 @@
   EXPECT_TRUE(Upstreams.isComplete());
 }
 
+TEST_F(StoreUpdateApplierTest, EvacuationStartsAndEndsOnce) {
+  apply(Content::Snapshot, {"c7", "u1", "e1"});
+  EXPECT_TRUE(Upstreams.evacuations().contains("1"));
+  apply(Content::Changes, {"e1"});
+  apply(Content::Changes, {"e1"}, true);
+  apply(Content::Changes, {"e1"}, true);
+  EXPECT_FALSE(Upstreams.evacuations().contains("1"));
+  EXPECT_EQ(countLogLines("evacuation-started"), 1U);
+  EXPECT_EQ(countLogLines("evacuation-ended"), 1U);
+}
+
+// Guards against a zone that stays empty because its instance missed the
+// deletion while the store had discarded its history.
+TEST_F(StoreUpdateApplierTest, SnapshotEndsMissingEvacuations) {
+  apply(Content::Snapshot, {"e1", "e2"});
+  apply(Content::FirstPage, {"e2"});
+  EXPECT_TRUE(Upstreams.evacuations().contains("1"));
+  apply(Content::LastPage, {"u1"});
+  EXPECT_FALSE(Upstreams.evacuations().contains("1"));
+  EXPECT_TRUE(Upstreams.evacuations().contains("2"));
+}
+
+// Guards against new flows to a zone in the seconds before an operator writes
+// its evacuation into the restored store again.
+TEST_F(StoreUpdateApplierTest, EvacuationOutlastsARestorationForAWhile) {
+  const auto Restore = [this](const std::vector<std::string> &Keys) {
+    StoreSync::Update Update;
+    Update.ContentKind = Content::Snapshot;
+    Update.IsFromRestoredStore = true;
+    for (const std::string &Key : Keys)
+      Update.Items.push_back({Key, "", ++Revision, Revision, false});
+    Applier.apply(Update);
+  };
+  apply(Content::Snapshot, {"e1", "e2"});
+  Restore({"u1"});
+  apply(Content::Changes, {"e2"});
+  TimeSource.advance(2400ms);
+  Applier.applyDue();
+  EXPECT_TRUE(Upstreams.evacuations().contains("1"));
+  TimeSource.advance(200ms);
+  Applier.applyDue();
+  EXPECT_FALSE(Upstreams.evacuations().contains("1"));
+  EXPECT_TRUE(Upstreams.evacuations().contains("2"));
+}
+
 } // namespace
 } // namespace indigopoint
