Share the rate of a cold upstream among a few instances

Cause: nothing read how many requests a second a cold upstream bears (ColdPerS); each instance alone preferred or avoided it. Ruled out: an equal share for each instance, which is below one flow a second in a fleet of 64; one owner with the whole rate, since two owners that do not know of each other then send twice the rate. Change: WarmupLimiter gives each cold upstream as many holders as its rate, with one flow a second each, by rendezvous hashing over the instances of its zone that were heard from within two minutes. Upstreams of a zone count as cold at the end of its evacuation.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -122,8 +122,8 @@
         Upstreams.evacuations().contains(CurrentUpstream->Registration.Zone)));
   if (!MayMove)
     return CurrentUpstream != nullptr
-               ? forwardUnlessAddressReused(SteeringReason::RepeatedOpening,
-                                            *CurrentUpstream)
+               ? forwardOpening(SteeringReason::RepeatedOpening,
+                                *CurrentUpstream)
                : assignNewUpstream(Packet, *MatchedRoute, Flow, {});
   // If the upstream answered other flows since this one was opened, it works
   // and a packet of this flow was lost. If the opening were sent to another
@@ -133,8 +133,7 @@
       canAssignFlow(*CurrentUpstream, Packet.Flow) &&
       (!Opts.Placement.MoveUnansweredOpenings ||
        CurrentUpstream->Reachability.lastAnswer() > Flow->OpenedAt))
-    return forwardUnlessAddressReused(SteeringReason::RepeatedOpening,
-                                      *CurrentUpstream);
+    return forwardOpening(SteeringReason::RepeatedOpening, *CurrentUpstream);
   return assignNewUpstream(Packet, *MatchedRoute, Flow, Flow->Upstream);
 }
 
@@ -176,9 +175,9 @@
                                             : Service.OpenedInOtherZones);
   if (Upstreams.evacuations().contains(Opts.Zone))
     ++Service.OpenedDuringEvacuation;
-  return forwardUnlessAddressReused(IsMoved ? SteeringReason::MovedOpening
-                                            : SteeringReason::NewFlow,
-                                    *Target);
+  return forwardOpening(IsMoved ? SteeringReason::MovedOpening
+                                : SteeringReason::NewFlow,
+                        *Target);
 }
 
 // An upstream resets an opening that it refuses; the reset does not pass
@@ -205,7 +204,9 @@
 bool FlowSteering::canAssignFlow(const Upstream &Target,
                                  const FlowAddress &Flow) {
   const FlowTag Tag = tagOf(Flow, Target.Registration.Id);
+  const ServiceSettings &Service = Routes.service(Target.Registration.Service);
   return Upstreams.takesNewFlows(Target) &&
+         Warmups.mayOpen(Target, Service.WarmupRate, TimeSource.now()) &&
          Upstreams.findByTag(Flow, Tag) == &Target;
 }
 
@@ -218,6 +219,12 @@
   return Opts.Policy(Candidates, FlowToOpen, TimeSource.now());
 }
 
+SteeringDecision FlowSteering::forwardOpening(SteeringReason Reason,
+                                              Upstream &Target) {
+  Warmups.recordOpening(Target, TimeSource.now());
+  return forwardUnlessAddressReused(Reason, Target);
+}
+
 SteeringDecision FlowSteering::steerLaterPacket(const PacketHeader &Packet,
                                                 SteeredFlow *Flow) {
   if (Routes.find(Packet.Flow.ServiceAddress) == nullptr) {
@@ -414,6 +421,7 @@
   // An upper limit on the lifetime of any flow.
   constexpr Duration FlowLifetime = std::chrono::minutes(2);
   Upstreams.expire(Now, FlowLifetime);
+  Warmups.expire(Now);
   std::erase_if(RetransmittingFlows, [this](const auto &Entry) {
     const SteeredFlow *Flow = Flows.find(Entry.second);
     return Flow == nullptr || !Flow->HasRetransmitted ||
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -12,6 +12,7 @@
 #include "steered_flow_table.h"
 #include "steering_decision.h"
 #include "steering_metrics.h"
+#include "warmup_limiter.h"
 
 namespace indigopoint {
 
@@ -25,6 +26,8 @@
     BalancingPolicy Policy;
     PlacementOptions Placement = {};
     CheckOptions Checks = {};
+    /// The address that identifies this instance among InstancesOfZone.
+    Endpoint Self = {};
   };
 
   struct Hooks {
@@ -39,14 +42,19 @@
     /// Returns whether what is known of the store may be out of date after a
     /// pause of the process. Opening packets are then dropped.
     std::function<bool()> IsOutdated = [] { return false; };
+    /// Returns the instances that share the limits of upstreams in a zone (see
+    /// WarmupLimiter).
+    WarmupLimiter::InstancesHook InstancesOfZone = [](const std::string &) {
+      return std::vector<Endpoint>();
+    };
   };
 
   FlowSteering(Options Opts, const Clock &TimeSource, RouteTable &Routes,
                UpstreamRegistry &Upstreams, SteeringMetrics &Metrics,
                Hooks FlowHooks)
       : Opts(std::move(Opts)), TimeSource(TimeSource), Routes(Routes),
-        Upstreams(Upstreams), Metrics(Metrics),
-        FlowHooks(std::move(FlowHooks)) {}
+        Upstreams(Upstreams), Metrics(Metrics), FlowHooks(std::move(FlowHooks)),
+        Warmups(this->Opts.Self, this->FlowHooks.InstancesOfZone) {}
 
   SteeringDecision steer(const PacketHeader &Packet);
 
@@ -97,6 +105,8 @@
   void resetWaitingFlows(Upstream &DeadUpstream);
   Upstream *choose(const std::string &Service, const NewFlow &FlowToOpen);
   bool canAssignFlow(const Upstream &Target, const FlowAddress &Flow);
+  /// Forwards an opening packet and counts it as load of the upstream.
+  SteeringDecision forwardOpening(SteeringReason Reason, Upstream &Target);
   /// Updates the flow and its upstream's reachability from a packet after the
   /// opening. Returns whether the packet retransmits unacknowledged data.
   bool updateFlow(const PacketHeader &Packet, SteeredFlow &Flow,
@@ -119,6 +129,7 @@
   UpstreamRegistry &Upstreams;
   SteeringMetrics &Metrics;
   Hooks FlowHooks;
+  WarmupLimiter Warmups;
   SteeredFlowTable Flows;
   /// The flow that each client opened last, by the client's address.
   std::unordered_map<uint32_t, FlowAddress> LastFlowByClient;
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -106,7 +106,8 @@
       Steering({this->Settings.Zone,
                 makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
                                               this->Settings.Policy.Placement),
-                this->Settings.Policy.Placement, this->Settings.Policy.Checks},
+                this->Settings.Policy.Placement, this->Settings.Policy.Checks,
+                this->Settings.PeerAddress},
                TimeSource, Routes, Upstreams, Metrics,
                {[this](const FlowAddress &Flow,
                        const Upstream &UnresponsiveUpstream) {
@@ -121,6 +122,9 @@
                 [this] {
                   return Pauses.isOutdated(Follower.sync().confirmedAt(),
                                            TimeSource.now());
+                },
+                [this](const std::string &Zone) {
+                  return Follower.membersOf(Zone);
                 }}),
       UpdateApplier(this->Protocol.DecodeItem, TimeSource, Log, Routes,
                     Upstreams, registrationLifetime(this->Settings)),
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -9,28 +9,34 @@
 namespace {
 
 // Entries of live instances are updated every few seconds; an entry without an
-// update for this time is removed.
+// update for this time is not used to exchange data.
 constexpr Duration EntryLifetime = std::chrono::seconds(20);
 
+// An entry without an update for this time is removed.
+constexpr Duration MemberLifetime = std::chrono::minutes(2);
+
+// The first contacts follow each other quickly; after this time most instances
+// of the zone are known.
+constexpr Duration DiscoveryTime = std::chrono::seconds(3);
+
 constexpr Duration RetryDelayAfterFailure = std::chrono::seconds(5);
 
 // Number of seeds contacted for each contacted peer.
 constexpr size_t SeedsPerPeer = 3;
 
-uint64_t keyOf(Endpoint Peer) {
-  return (uint64_t{Peer.Address} << 16) | Peer.Port;
-}
-
 } // namespace
 
 PeerTable::PeerTable(PeerInfo Self, std::vector<Endpoint> Seeds,
                      const Clock &TimeSource, RandomSource &Random)
     : Self(std::move(Self)), Seeds(std::move(Seeds)), TimeSource(TimeSource),
-      Random(Random) {}
+      Random(Random), StartedAt(TimeSource.now()) {}
+
+bool PeerTable::isRecent(const Entry &Peer) const {
+  return TimeSource.now() - Peer.HeardAt <= EntryLifetime;
+}
 
 bool PeerTable::isUsable(const Entry &Peer) const {
-  return TimeSource.now() - Peer.HeardAt <= EntryLifetime &&
-         TimeSource.now() >= Peer.AvoidUntil;
+  return isRecent(Peer) && TimeSource.now() >= Peer.AvoidUntil;
 }
 
 void PeerTable::update(const PeerInfo &Info) {
@@ -42,7 +48,7 @@
   Peer.LinkMbps = Info.LinkMbps;
   Peer.HeardAt = std::max(Peer.HeardAt, TimeSource.now() - Info.Age);
   std::erase_if(Peers, [this](const auto &Item) {
-    return TimeSource.now() - Item.second.HeardAt > EntryLifetime;
+    return TimeSource.now() - Item.second.HeardAt > MemberLifetime;
   });
 }
 
@@ -57,7 +63,8 @@
   std::vector<PeerInfo> Out;
   for (const bool SameZone : {true, false})
     for (const auto &[Address, Peer] : Peers)
-      if ((Peer.Zone == ForZone) == SameZone && Out.size() < MaxEntries)
+      if ((Peer.Zone == ForZone) == SameZone && isRecent(Peer) &&
+          Out.size() < MaxEntries)
         Out.push_back({Address, Peer.Zone, TimeSource.now() - Peer.HeardAt,
                        Peer.LinkMbps});
   return Out;
@@ -70,10 +77,31 @@
          });
 }
 
+size_t PeerTable::size() const {
+  return std::count_if(Peers.begin(), Peers.end(), [this](const auto &Item) {
+    return isRecent(Item.second);
+  });
+}
+
+std::vector<Endpoint> PeerTable::membersOf(const std::string &Zone) const {
+  if (TimeSource.now() - StartedAt < DiscoveryTime)
+    return {};
+  std::vector<Endpoint> InZone;
+  std::vector<Endpoint> All = {Self.Address};
+  if (Self.Zone == Zone)
+    InZone.push_back(Self.Address);
+  for (const auto &[Address, Peer] : Peers) {
+    All.push_back(Address);
+    if (Peer.Zone == Zone)
+      InZone.push_back(Address);
+  }
+  return InZone.empty() ? All : InZone;
+}
+
 Endpoint PeerTable::zoneReader() const {
   const uint64_t Key = std::hash<std::string>{}(Self.Zone);
   const auto Rank = [Key](Endpoint Address, uint32_t LinkMbps) {
-    return std::pair(LinkMbps, rendezvousScore(Key, keyOf(Address)));
+    return std::pair(LinkMbps, rendezvousScore(Key, Address));
   };
   Endpoint Best = Self.Address;
   auto BestRank = Rank(Best, Self.LinkMbps);
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -48,6 +48,13 @@
   /// one.
   size_t zoneSize() const;
 
+  /// Returns the instances of a zone, including this one, that were heard from
+  /// within two minutes; those of all zones if this one has none. Returns
+  /// nothing in the first seconds after the start, when most are not known yet.
+  /// An instance that cannot reach the others still counts them, so that limits
+  /// shared among instances hold in a partition.
+  std::vector<Endpoint> membersOf(const std::string &Zone) const;
+
   /// Returns the address of the instance that reads the store for all instances
   /// of the own zone; it may be the own address. The chosen instance has one
   /// of the fastest links, because it sends each change to all others. All
@@ -58,7 +65,8 @@
   /// between seeds and known peers.
   std::optional<Endpoint> nextContact();
 
-  size_t size() const { return Peers.size(); }
+  /// Returns the number of other instances that were recently heard from.
+  size_t size() const;
 
 private:
   struct Entry {
@@ -68,12 +76,14 @@
     uint32_t LinkMbps = 0;
   };
 
+  bool isRecent(const Entry &Peer) const;
   bool isUsable(const Entry &Peer) const;
 
   PeerInfo Self;
   std::vector<Endpoint> Seeds;
   const Clock &TimeSource;
   RandomSource &Random;
+  TimePoint StartedAt{};
   std::map<Endpoint, Entry> Peers;
   size_t Turn = 0;
 };
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -82,6 +82,11 @@
   return XXH64(Pair, sizeof(Pair), 0);
 }
 
+uint64_t rendezvousScore(uint64_t Key, Endpoint Candidate) {
+  return rendezvousScore(Key,
+                         (uint64_t{Candidate.Address} << 16) | Candidate.Port);
+}
+
 InstanceId rendezvousChoice(uint64_t Key,
                             const std::vector<InstanceId> &Candidates) {
   return topTwo(Key, Candidates).First;
--- a/src/placement.h
+++ b/src/placement.h
@@ -23,6 +23,8 @@
 /// The rendezvous score of a pair. The highest score wins.
 uint64_t rendezvousScore(uint64_t Key, uint64_t Candidate);
 
+uint64_t rendezvousScore(uint64_t Key, Endpoint Candidate);
+
 /// The candidate of highest score; zero if there is none.
 InstanceId rendezvousChoice(uint64_t Key,
                             const std::vector<InstanceId> &Candidates);
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -24,6 +24,7 @@
   Result.Removed = Routes.size() + Result.Added - NewRoutes.size();
   Result.Applied = true;
   Routes = std::move(NewRoutes);
+  Services = std::move(NewConfiguration.Services);
   Version = NewConfiguration.Version;
   IdleTimeout = NewConfiguration.IdleTimeout;
   HasConfiguration = true;
@@ -32,6 +33,7 @@
 
 bool RouteTable::hasSameContent(const RouteConfiguration &Configuration) const {
   return Configuration.IdleTimeout == IdleTimeout &&
+         Configuration.Services == Services &&
          Configuration.Routes.size() == Routes.size() &&
          std::all_of(Configuration.Routes.begin(), Configuration.Routes.end(),
                      [this](const Route &Other) {
@@ -45,6 +47,12 @@
   return It == Routes.end() ? nullptr : &It->second;
 }
 
+const ServiceSettings &RouteTable::service(const std::string &Name) const {
+  static const ServiceSettings Defaults;
+  const auto It = Services.find(Name);
+  return It == Services.end() ? Defaults : It->second;
+}
+
 const RouteShare *RouteTable::chooseShare(const Route &MatchedRoute,
                                           const FlowAddress &Flow) {
   const uint64_t Total = std::accumulate(
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -35,12 +36,22 @@
   bool operator==(const Route &) const = default;
 };
 
+/// What the configuration says of one service.
+struct ServiceSettings {
+  /// How long an upstream is cold after its start.
+  Duration WarmupTime{};
+  /// The requests per second that a cold upstream bears; 0 for no limit.
+  double WarmupRate = 0;
+  bool operator==(const ServiceSettings &) const = default;
+};
+
 /// All routes of one configuration version.
 struct RouteConfiguration {
   ConfigVersion Version;
   std::vector<Route> Routes;
   /// Flows without packets for this long may be removed.
   Duration IdleTimeout = std::chrono::seconds(15);
+  std::map<std::string, ServiceSettings> Services{};
 };
 
 /// The current routes. apply() never decreases the version.
@@ -73,6 +84,10 @@
   /// The route for an address and port; null if there is none.
   const Route *find(Endpoint Address) const;
 
+  /// The settings of a service; the defaults if the configuration does not name
+  /// it.
+  const ServiceSettings &service(const std::string &Name) const;
+
   /// Chooses the service of a new flow by the weights of the shares. The result
   /// depends on the flow and the shares only, so all instances choose the same
   /// service. Null if all weights are 0.
@@ -90,6 +105,7 @@
   ConfigVersion Version;
   Duration IdleTimeout = std::chrono::seconds(15);
   std::unordered_map<Endpoint, Route, EndpointHash> Routes;
+  std::map<std::string, ServiceSettings> Services;
 };
 
 } // namespace indigopoint
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -261,6 +261,10 @@
 
 size_t StoreFollower::peerCount() const { return PImpl->Peers.size(); }
 
+std::vector<Endpoint> StoreFollower::membersOf(const std::string &Zone) const {
+  return PImpl->Peers.membersOf(Zone);
+}
+
 EventLog::Fields StoreFollower::storeStateFields() const {
   return {{"era", PImpl->Sync.position().Era},
           {"revision", PImpl->Sync.position().Revision},
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -58,6 +58,9 @@
   /// Returns the number of other instances that were recently heard from.
   size_t peerCount() const;
 
+  /// See PeerTable::membersOf.
+  std::vector<Endpoint> membersOf(const std::string &Zone) const;
+
   /// Returns how long ago the store confirmed the current data.
   Duration dataAge() const;
 
--- a/src/store_update_applier.cpp
+++ b/src/store_update_applier.cpp
@@ -179,6 +179,12 @@
                                        uint64_t Revision) {
   if (!Upstreams.evacuations().end(Zone))
     return;
+  // The upstreams may have become cold meanwhile and report it only with their
+  // next renewal. It matters where a cold upstream bears a limited rate.
+  Upstreams.assumeCold(Zone, TimeSource.now(), [this](const std::string &Name) {
+    const ServiceSettings &Service = Routes.service(Name);
+    return Service.WarmupRate > 0 ? Service.WarmupTime : Duration();
+  });
   Log.write(LogEvent::EvacuationEnded, [&] {
     return EventLog::Fields{{"zone", Zone},
                             {"upstreams", Upstreams.countInZone(Zone)},
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -131,6 +131,15 @@
   return LatestUpstream;
 }
 
+void UpstreamRegistry::assumeCold(
+    const std::string &Zone, TimePoint Now,
+    const std::function<Duration(const std::string &)> &WarmupTime) {
+  for (auto &[Id, Entry] : Upstreams)
+    if (Entry.Registration.Zone == Zone)
+      Entry.WarmupEnd = std::max(Entry.WarmupEnd,
+                                 Now + WarmupTime(Entry.Registration.Service));
+}
+
 bool UpstreamRegistry::takesNewFlows(const Upstream &Target) const {
   return Target.State == UpstreamState::Ready &&
          !Evacuations.contains(Target.Registration.Zone);
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -127,6 +128,12 @@
   EvacuationTable &evacuations() { return Evacuations; }
   const EvacuationTable &evacuations() const { return Evacuations; }
 
+  /// Counts the upstreams of a zone as cold for the time that \p WarmupTime
+  /// returns for their service.
+  void
+  assumeCold(const std::string &Zone, TimePoint Now,
+             const std::function<Duration(const std::string &)> &WarmupTime);
+
   /// Whether new flows may go to the upstream: it is registered, not draining
   /// and not in an evacuated zone.
   bool takesNewFlows(const Upstream &Target) const;
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -70,5 +70,16 @@
   EXPECT_EQ(Steering.steer(opening(2)).Action, SteeringAction::Reset);
 }
 
+// Guards against the full load on upstreams that became cold while their zone
+// was evacuated: they report it only with their next renewal.
+TEST_F(EvacuationTest, UpstreamsCountAsColdAfterTheEvacuation) {
+  Upstreams.assumeCold("a", TimeSource.now(), [](const std::string &Service) {
+    return Service == "chat" ? Duration(2s) : Duration();
+  });
+  EXPECT_EQ(Upstreams.find(UpstreamId(11))->WarmupEnd, TimeSource.now() + 2s);
+  EXPECT_EQ(Upstreams.find(UpstreamId(21))->WarmupEnd, TimeSource.now());
+  EXPECT_LE(Upstreams.find(UpstreamId(13))->WarmupEnd, TimeSource.now());
+}
+
 } // namespace
 } // namespace indigopoint
--- a/tests/store_codec_test.cpp
+++ b/tests/store_codec_test.cpp
@@ -189,6 +189,16 @@
   }
 }
 
+TEST(StoreCodecTest, DecodesTheWarmupOfServices) {
+  const auto Config = std::get<RouteConfiguration>(decodeItem(configurationItem(
+      R"({"Version":7,"Routes":[],"Services":[)"
+      R"({"Name":"a","ColdStartS":2.5,"ColdPerS":10},{"Name":"b"},)"
+      R"({"Name":"c","ColdStartS":-1,"ColdPerS":"10"}]})")));
+  EXPECT_EQ(Config.Services.at("a"), (ServiceSettings{2500ms, 10}));
+  EXPECT_EQ(Config.Services.at("b"), ServiceSettings());
+  EXPECT_EQ(Config.Services.at("c"), ServiceSettings());
+}
+
 TEST(StoreCodecTest, RejectsAnInvalidConfigurationAsAWhole) {
   for (const std::string Value :
        {"", "7", R"({"Routes":[]})", R"({"Version":"7","Routes":[]})",
