Move the queries for lost members to the blackboard

Change: Blackboard::isGone and Blackboard::bootOf; both controllers use them. ConfigController::isUsable keeps its own rule, which also excludes itself.

--- a/src/blackboard.cpp
+++ b/src/blackboard.cpp
@@ -16,4 +16,19 @@
   Self.OwnIncarnation = {Settings.BootTime, Settings.Boot, 0};
 }
 
+bool Blackboard::isGone(InstanceId Instance) const {
+  if (Instance == Self.Id)
+    return false;
+  const Member *Peer = Members.find(Instance);
+  return Peer == nullptr || Peer->State == MemberState::Dead ||
+         Peer->State == MemberState::Left;
+}
+
+BootId Blackboard::bootOf(InstanceId Instance) const {
+  if (Instance == Self.Id)
+    return Self.OwnIncarnation.Boot;
+  const Member *Peer = Members.find(Instance);
+  return Peer == nullptr ? BootId() : Peer->MemberIncarnation.Boot;
+}
+
 } // namespace indigopoint
--- a/src/blackboard.h
+++ b/src/blackboard.h
@@ -123,6 +123,12 @@
   Metrics EngineMetrics;
 
   TimePoint now() const { return TimeSource.now(); }
+
+  /// Whether another instance is unknown, dead or has left.
+  bool isGone(InstanceId Instance) const;
+
+  /// The boot id of an instance's process; zero if the instance is unknown.
+  BootId bootOf(InstanceId Instance) const;
 };
 
 } // namespace indigopoint
--- a/src/flow_controller.cpp
+++ b/src/flow_controller.cpp
@@ -143,11 +143,7 @@
     return;
   // The previous home instance runs the request and answers it while that
   // instance is a live member.
-  const Member *RunningMember = Board.Members.find(Record.RunningInstance);
-  const bool IsGone = RunningMember == nullptr ||
-                      RunningMember->State == MemberState::Dead ||
-                      RunningMember->State == MemberState::Left;
-  if (!IsGone)
+  if (!Board.isGone(Record.RunningInstance))
     relay(Record.RunningInstance, Record.Caller, std::move(CallerRequest), Hops,
           Sink);
   else
--- a/src/request_lifecycle.cpp
+++ b/src/request_lifecycle.cpp
@@ -144,14 +144,14 @@
       CurrentSubmission.Owner == InstanceId()
           ? Board.CurrentOwnership.ownerOf(CurrentSubmission.Upstream)
           : CurrentSubmission.Owner;
-  if (Board.Self.Stale || Target == InstanceId() || isGone(Target)) {
+  if (Board.Self.Stale || Target == InstanceId() || Board.isGone(Target)) {
     schedule(Record, Board.now() + OwnerRetryDelay);
     return;
   }
   if (CurrentSubmission.Owner == InstanceId()) {
     // From here on the request may have run.
     CurrentSubmission.Owner = Target;
-    CurrentSubmission.OwnerBoot = bootOf(Target);
+    CurrentSubmission.OwnerBoot = Board.bootOf(Target);
     CurrentSubmission.MayRedirect =
         !Pinning.isEstablished(Record.Key.Flow, Record.Key.Service);
   }
@@ -210,7 +210,7 @@
     }
     finishUnanswered(Record, DefaultRetryAfter, Sink);
   } else if (CurrentSubmission.Owner != InstanceId() &&
-             isGone(CurrentSubmission.Owner)) {
+             Board.isGone(CurrentSubmission.Owner)) {
     onMayHaveRun(Record, DefaultRetryAfter, Sink);
   } else {
     transmit(Record, Sink);
@@ -406,7 +406,7 @@
 void RequestLifecycle::onPlacementChanged() {
   for (const auto &[Id, Record] : RecordsBySubmitId)
     if (Record->ActiveSubmission->Owner != InstanceId() &&
-        isGone(Record->ActiveSubmission->Owner))
+        Board.isGone(Record->ActiveSubmission->Owner))
       schedule(*Record, std::min(Record->ActiveSubmission->NextActionAt,
                                  Board.now() + DepartedOwnerWait));
 }
@@ -477,21 +477,6 @@
                                  Record.RetryAfter, Record.Payload});
 }
 
-bool RequestLifecycle::isGone(InstanceId Instance) const {
-  if (Instance == Board.Self.Id)
-    return false;
-  const Member *Peer = Board.Members.find(Instance);
-  return Peer == nullptr || Peer->State == MemberState::Dead ||
-         Peer->State == MemberState::Left;
-}
-
-BootId RequestLifecycle::bootOf(InstanceId Instance) const {
-  if (Instance == Board.Self.Id)
-    return Board.Self.OwnIncarnation.Boot;
-  const Member *Peer = Board.Members.find(Instance);
-  return Peer == nullptr ? BootId() : Peer->MemberIncarnation.Boot;
-}
-
 const ServiceConfig *
 RequestLifecycle::serviceOf(const RequestRecord &Record) const {
   const auto It = Board.Config.Services.find(Record.Key.Service);
--- a/src/request_lifecycle.h
+++ b/src/request_lifecycle.h
@@ -82,8 +82,6 @@
               std::string Answer, ActionSink &Sink);
   void finishUnanswered(RequestRecord &Record, Duration RetryAfter,
                         ActionSink &Sink);
-  bool isGone(InstanceId Instance) const;
-  BootId bootOf(InstanceId Instance) const;
   const ServiceConfig *serviceOf(const RequestRecord &Record) const;
   std::vector<RequestRecord *> recordsSubmittedTo(InstanceId Owner);
 
