Encode the reports between instances of a zone

Cause: instances of a zone shall share evidence of unresponsive upstreams and their loads; the types exist, the format does not.

Ruled out: rejecting single entries when a report is read. A report with an absurd value is rejected as a whole, because its other values are as doubtful; the sender leaves such entries out instead, so that one rate divided by zero does not silence an instance.

Change: struct PeerReport in protocol.thrift (compact protocol, ages instead of times, version field) and a codec that writes at most 1,200 bytes, the newest evidence first and then the loads, and that rejects malformed, foreign and implausible reports.

--- a/src/gen/protocol_types.cpp
+++ b/src/gen/protocol_types.cpp
@@ -2330,4 +2330,179 @@
   __isset = other211.__isset;
   return *this;
 }
+
+ReportedEvidence::~ReportedEvidence() noexcept {
+}
+
+
+void ReportedEvidence::__set_upstream(const int64_t val) {
+  this->upstream = val;
+}
+
+void ReportedEvidence::__set_startedAtMs(const int64_t val) {
+  this->startedAtMs = val;
+}
+
+void ReportedEvidence::__set_age(const int64_t val) {
+  this->age = val;
+}
+
+void swap(ReportedEvidence &a, ReportedEvidence &b) {
+  using ::std::swap;
+  swap(a.upstream, b.upstream);
+  swap(a.startedAtMs, b.startedAtMs);
+  swap(a.age, b.age);
+  swap(a.__isset, b.__isset);
+}
+
+ReportedEvidence::ReportedEvidence(const ReportedEvidence& other212) noexcept {
+  upstream = other212.upstream;
+  startedAtMs = other212.startedAtMs;
+  age = other212.age;
+  __isset = other212.__isset;
+}
+ReportedEvidence::ReportedEvidence(ReportedEvidence&& other213) noexcept {
+  upstream = other213.upstream;
+  startedAtMs = other213.startedAtMs;
+  age = other213.age;
+  __isset = other213.__isset;
+}
+ReportedEvidence& ReportedEvidence::operator=(const ReportedEvidence& other214) noexcept {
+  upstream = other214.upstream;
+  startedAtMs = other214.startedAtMs;
+  age = other214.age;
+  __isset = other214.__isset;
+  return *this;
+}
+ReportedEvidence& ReportedEvidence::operator=(ReportedEvidence&& other215) noexcept {
+  upstream = other215.upstream;
+  startedAtMs = other215.startedAtMs;
+  age = other215.age;
+  __isset = other215.__isset;
+  return *this;
+}
+
+ReportedLoad::~ReportedLoad() noexcept {
+}
+
+
+void ReportedLoad::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void ReportedLoad::__set_openingsPerSecond(const double val) {
+  this->openingsPerSecond = val;
+}
+
+void ReportedLoad::__set_openExchanges(const double val) {
+  this->openExchanges = val;
+}
+
+void swap(ReportedLoad &a, ReportedLoad &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.openingsPerSecond, b.openingsPerSecond);
+  swap(a.openExchanges, b.openExchanges);
+}
+
+ReportedLoad::ReportedLoad(const ReportedLoad& other216) {
+  serviceName = other216.serviceName;
+  openingsPerSecond = other216.openingsPerSecond;
+  openExchanges = other216.openExchanges;
+}
+ReportedLoad::ReportedLoad(ReportedLoad&& other217) noexcept {
+  serviceName = std::move(other217.serviceName);
+  openingsPerSecond = other217.openingsPerSecond;
+  openExchanges = other217.openExchanges;
+}
+ReportedLoad& ReportedLoad::operator=(const ReportedLoad& other218) {
+  serviceName = other218.serviceName;
+  openingsPerSecond = other218.openingsPerSecond;
+  openExchanges = other218.openExchanges;
+  return *this;
+}
+ReportedLoad& ReportedLoad::operator=(ReportedLoad&& other219) noexcept {
+  serviceName = std::move(other219.serviceName);
+  openingsPerSecond = other219.openingsPerSecond;
+  openExchanges = other219.openExchanges;
+  return *this;
+}
+
+PeerReport::~PeerReport() noexcept {
+}
+
+
+void PeerReport::__set_version(const int32_t val) {
+  this->version = val;
+}
+
+void PeerReport::__set_sender(const Endpoint& val) {
+  this->sender = val;
+}
+
+void PeerReport::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void PeerReport::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void PeerReport::__set_evidence(const std::vector<ReportedEvidence> & val) {
+  this->evidence = val;
+}
+
+void PeerReport::__set_loads(const std::vector<ReportedLoad> & val) {
+  this->loads = val;
+}
+
+void swap(PeerReport &a, PeerReport &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.sender, b.sender);
+  swap(a.zone, b.zone);
+  swap(a.sequence, b.sequence);
+  swap(a.evidence, b.evidence);
+  swap(a.loads, b.loads);
+  swap(a.__isset, b.__isset);
+}
+
+PeerReport::PeerReport(const PeerReport& other232) {
+  version = other232.version;
+  sender = other232.sender;
+  zone = other232.zone;
+  sequence = other232.sequence;
+  evidence = other232.evidence;
+  loads = other232.loads;
+  __isset = other232.__isset;
+}
+PeerReport::PeerReport(PeerReport&& other233) noexcept {
+  version = other233.version;
+  sender = std::move(other233.sender);
+  zone = std::move(other233.zone);
+  sequence = other233.sequence;
+  evidence = std::move(other233.evidence);
+  loads = std::move(other233.loads);
+  __isset = other233.__isset;
+}
+PeerReport& PeerReport::operator=(const PeerReport& other234) {
+  version = other234.version;
+  sender = other234.sender;
+  zone = other234.zone;
+  sequence = other234.sequence;
+  evidence = other234.evidence;
+  loads = other234.loads;
+  __isset = other234.__isset;
+  return *this;
+}
+PeerReport& PeerReport::operator=(PeerReport&& other235) noexcept {
+  version = other235.version;
+  sender = std::move(other235.sender);
+  zone = std::move(other235.zone);
+  sequence = other235.sequence;
+  evidence = std::move(other235.evidence);
+  loads = std::move(other235.loads);
+  __isset = other235.__isset;
+  return *this;
+}
 }} // namespace
--- a/src/gen/protocol_types.h
+++ b/src/gen/protocol_types.h
@@ -209,6 +209,12 @@
 
 class PeerState;
 
+class ReportedEvidence;
+
+class ReportedLoad;
+
+class PeerReport;
+
 typedef struct _Header__isset {
   _Header__isset() : instance(false), boot(false) {}
   bool instance :1;
@@ -2578,6 +2584,190 @@
 
 std::ostream& operator<<(std::ostream& out, const PeerState& obj);
 
+typedef struct _ReportedEvidence__isset {
+  _ReportedEvidence__isset() : startedAtMs(false) {}
+  bool startedAtMs :1;
+} _ReportedEvidence__isset;
+
+class ReportedEvidence {
+ public:
+
+  ReportedEvidence(const ReportedEvidence&) noexcept;
+  ReportedEvidence(ReportedEvidence&&) noexcept;
+  ReportedEvidence& operator=(const ReportedEvidence&) noexcept;
+  ReportedEvidence& operator=(ReportedEvidence&&) noexcept;
+  ReportedEvidence() noexcept
+                   : upstream(0),
+                     startedAtMs(0),
+                     age(0) {
+  }
+
+  virtual ~ReportedEvidence() noexcept;
+  int64_t upstream;
+  int64_t startedAtMs;
+  int64_t age;
+
+  _ReportedEvidence__isset __isset;
+
+  void __set_upstream(const int64_t val);
+
+  void __set_startedAtMs(const int64_t val);
+
+  void __set_age(const int64_t val);
+
+  bool operator == (const ReportedEvidence & rhs) const
+  {
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(startedAtMs == rhs.startedAtMs))
+      return false;
+    if (!(age == rhs.age))
+      return false;
+    return true;
+  }
+  bool operator != (const ReportedEvidence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReportedEvidence & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+};
+
+void swap(ReportedEvidence &a, ReportedEvidence &b);
+
+std::ostream& operator<<(std::ostream& out, const ReportedEvidence& obj);
+
+
+class ReportedLoad {
+ public:
+
+  ReportedLoad(const ReportedLoad&);
+  ReportedLoad(ReportedLoad&&) noexcept;
+  ReportedLoad& operator=(const ReportedLoad&);
+  ReportedLoad& operator=(ReportedLoad&&) noexcept;
+  ReportedLoad() noexcept
+               : serviceName(),
+                 openingsPerSecond(0),
+                 openExchanges(0) {
+  }
+
+  virtual ~ReportedLoad() noexcept;
+  std::string serviceName;
+  double openingsPerSecond;
+  double openExchanges;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_openingsPerSecond(const double val);
+
+  void __set_openExchanges(const double val);
+
+  bool operator == (const ReportedLoad & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(openingsPerSecond == rhs.openingsPerSecond))
+      return false;
+    if (!(openExchanges == rhs.openExchanges))
+      return false;
+    return true;
+  }
+  bool operator != (const ReportedLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReportedLoad & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+};
+
+void swap(ReportedLoad &a, ReportedLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const ReportedLoad& obj);
+
+typedef struct _PeerReport__isset {
+  _PeerReport__isset() : evidence(false), loads(false) {}
+  bool evidence :1;
+  bool loads :1;
+} _PeerReport__isset;
+
+class PeerReport {
+ public:
+
+  PeerReport(const PeerReport&);
+  PeerReport(PeerReport&&) noexcept;
+  PeerReport& operator=(const PeerReport&);
+  PeerReport& operator=(PeerReport&&) noexcept;
+  PeerReport() noexcept
+             : version(0),
+               zone(),
+               sequence(0) {
+  }
+
+  virtual ~PeerReport() noexcept;
+  int32_t version;
+  Endpoint sender;
+  std::string zone;
+  int64_t sequence;
+  std::vector<ReportedEvidence>  evidence;
+  std::vector<ReportedLoad>  loads;
+
+  _PeerReport__isset __isset;
+
+  void __set_version(const int32_t val);
+
+  void __set_sender(const Endpoint& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_evidence(const std::vector<ReportedEvidence> & val);
+
+  void __set_loads(const std::vector<ReportedLoad> & val);
+
+  bool operator == (const PeerReport & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(evidence == rhs.evidence))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerReport & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+};
+
+void swap(PeerReport &a, PeerReport &b);
+
+std::ostream& operator<<(std::ostream& out, const PeerReport& obj);
+
 }} // namespace
 
 #include "protocol_types.tcc"
--- /dev/null
+++ b/src/peer_report_codec.cpp
@@ -0,0 +1,167 @@
+#include "peer_report_codec.h"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <set>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include "gen/protocol_types.h"
+
+namespace indigopoint {
+
+namespace {
+
+using apache::thrift::transport::TMemoryBuffer;
+using CompactProtocol =
+    apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer>;
+
+constexpr int32_t ReportVersion = 1;
+
+// Entries of one kind in a report; more do not fit into MaxReportBytes.
+constexpr size_t MaxEntries = 100;
+
+// The header of a list of up to 127 entries takes at most two bytes. An empty
+// list is counted with one.
+constexpr size_t ExtraListBytes = 1;
+
+// Evidence is used for 2 s. A much higher age is an error of the sender.
+constexpr Duration MaxAge = std::chrono::seconds(60);
+
+// More than any instance can have.
+constexpr double MaxLoad = 1e9;
+
+bool isAgePlausible(Duration Age) { return Age >= Duration() && Age <= MaxAge; }
+
+// False for a value that is not a number.
+bool isLoadPlausible(double Value) { return Value >= 0 && Value <= MaxLoad; }
+
+bool isPlausible(const ServiceLoad &Load) {
+  return !Load.Service.empty() && isLoadPlausible(Load.OpeningsPerSecond) &&
+         isLoadPlausible(Load.OpenExchanges);
+}
+
+wire::ReportedEvidence toWire(const UpstreamEvidence &Evidence) {
+  wire::ReportedEvidence Out;
+  Out.upstream = static_cast<int64_t>(Evidence.Upstream.value());
+  Out.startedAtMs = Evidence.StartedAtMs;
+  Out.age = Evidence.Age.count();
+  return Out;
+}
+
+wire::ReportedLoad toWire(const ServiceLoad &Load) {
+  wire::ReportedLoad Out;
+  Out.serviceName = Load.Service;
+  Out.openingsPerSecond = Load.OpeningsPerSecond;
+  Out.openExchanges = Load.OpenExchanges;
+  return Out;
+}
+
+UpstreamEvidence fromWire(const wire::ReportedEvidence &Evidence) {
+  return {UpstreamId(static_cast<uint64_t>(Evidence.upstream)),
+          Evidence.startedAtMs, Duration(Evidence.age)};
+}
+
+ServiceLoad fromWire(wire::ReportedLoad &Load) {
+  return {std::move(Load.serviceName), Load.openingsPerSecond,
+          Load.openExchanges};
+}
+
+template <typename Struct> std::string write(const Struct &Value) {
+  const auto Buffer = std::make_shared<TMemoryBuffer>();
+  CompactProtocol Protocol(Buffer);
+  Value.write(&Protocol);
+  return Buffer->getBufferAsString();
+}
+
+// Adds the entry if it fits into the free bytes. The encoding of a struct does
+// not depend on where it stands in a message.
+template <typename Struct>
+void addIfItFits(Struct Entry, std::vector<Struct> &Entries, size_t &Free) {
+  if (Entries.size() == MaxEntries)
+    return;
+  const size_t Size = write(Entry).size();
+  if (Size > Free)
+    return;
+  Free -= Size;
+  Entries.push_back(std::move(Entry));
+}
+
+bool read(std::string_view Bytes, wire::PeerReport &Out) {
+  try {
+    // The buffer is only observed, so it is never written to.
+    const auto Buffer = std::make_shared<TMemoryBuffer>(
+        reinterpret_cast<uint8_t *>(const_cast<char *>(Bytes.data())),
+        static_cast<uint32_t>(Bytes.size()));
+    // The limits bound the memory that a false size field can request.
+    CompactProtocol Protocol(Buffer, static_cast<int32_t>(MaxReportBytes),
+                             static_cast<int32_t>(MaxEntries));
+    Out.read(&Protocol);
+    return Buffer->available_read() == 0;
+  } catch (const std::exception &) {
+    return false;
+  }
+}
+
+} // namespace
+
+std::string encodePeerReport(const PeerReport &Report) {
+  wire::PeerReport Out;
+  Out.version = ReportVersion;
+  Out.sender.address = static_cast<int32_t>(Report.Sender.Address);
+  Out.sender.port = static_cast<int16_t>(Report.Sender.Port);
+  Out.zone = Report.Zone;
+  Out.sequence = static_cast<int64_t>(Report.Sequence);
+  const size_t Used = write(Out).size() + 2 * ExtraListBytes;
+  if (Used > MaxReportBytes)
+    return {};
+  size_t Free = MaxReportBytes - Used;
+
+  std::vector<UpstreamEvidence> Evidence = Report.Evidence;
+  std::stable_sort(Evidence.begin(), Evidence.end(),
+                   [](const auto &A, const auto &B) { return A.Age < B.Age; });
+  std::set<UpstreamId> UpstreamIds;
+  for (const UpstreamEvidence &Entry : Evidence)
+    if (isAgePlausible(Entry.Age) && UpstreamIds.insert(Entry.Upstream).second)
+      addIfItFits(toWire(Entry), Out.evidence, Free);
+  std::set<std::string_view> Services;
+  for (const ServiceLoad &Load : Report.Loads)
+    if (isPlausible(Load) && Services.insert(Load.Service).second)
+      addIfItFits(toWire(Load), Out.loads, Free);
+  return write(Out);
+}
+
+std::optional<PeerReport> decodePeerReport(std::string_view Bytes,
+                                           Endpoint Self,
+                                           const std::string &Zone) {
+  wire::PeerReport In;
+  if (Bytes.size() > MaxReportBytes || !read(Bytes, In) ||
+      In.version != ReportVersion)
+    return std::nullopt;
+  PeerReport Out;
+  Out.Sender = {static_cast<uint32_t>(In.sender.address),
+                static_cast<uint16_t>(In.sender.port)};
+  Out.Zone = std::move(In.zone);
+  Out.Sequence = static_cast<uint64_t>(In.sequence);
+  if (Out.Zone != Zone || Out.Sender == Self || Out.Sender.Port == 0)
+    return std::nullopt;
+  std::set<UpstreamId> UpstreamIds;
+  for (const wire::ReportedEvidence &Entry : In.evidence) {
+    Out.Evidence.push_back(fromWire(Entry));
+    if (!isAgePlausible(Out.Evidence.back().Age) ||
+        !UpstreamIds.insert(Out.Evidence.back().Upstream).second)
+      return std::nullopt;
+  }
+  std::set<std::string> Services;
+  for (wire::ReportedLoad &Entry : In.loads) {
+    Out.Loads.push_back(fromWire(Entry));
+    if (!isPlausible(Out.Loads.back()) ||
+        !Services.insert(Out.Loads.back().Service).second)
+      return std::nullopt;
+  }
+  return Out;
+}
+
+} // namespace indigopoint
--- a/src/protocol.thrift
+++ b/src/protocol.thrift
@@ -386,3 +386,30 @@
   8: binary packedRetainedItems
   9: i32 unpackedRetainedBytes
 }
+
+/* Between instances of a zone, on the report address: one datagram without a
+ * Header. Ages replace times, since the clocks of instances differ. */
+
+struct ReportedEvidence {
+  1: required i64 upstream
+  /* Start of the upstream's process in Unix milliseconds; 0 if unknown. */
+  2: i64 startedAtMs
+  /* Time since the evidence was found. */
+  3: required i64 age
+}
+
+struct ReportedLoad {
+  1: required string serviceName
+  2: required double openingsPerSecond
+  3: required double openExchanges
+}
+
+struct PeerReport {
+  1: required i32 version
+  /* Peer address of the sender. */
+  2: required Endpoint sender
+  3: required string zone
+  4: required i64 sequence
+  5: list<ReportedEvidence> evidence
+  6: list<ReportedLoad> loads
+}
