Decide when an instance reports to its zone

Cause: evidence must reach the other instances at once, loads regularly, and neither may flood a zone of 300 instances; received reports may be lost, late, reordered or from a process that was replaced.

Ruled out: a counter as the sequence number. It says nothing of a report that waited in the socket of a paused receiver; the sequence number is therefore the sender's clock since its start, after the time of the start. Also ruled out: the arrival of the first report as the sender's phase, since a zone that was started at once would then report at once.

Change: ReportScheduler, without I/O. Reports with evidence at least 100 ms apart, loads every 500 ms or every n/64 s in a zone of n.

--- /dev/null
+++ b/src/report_scheduler.cpp
@@ -0,0 +1,200 @@
+#include "report_scheduler.h"
+
+#include <algorithm>
+
+#include "placement.h"
+
+namespace indigopoint {
+
+namespace {
+
+// At most ten reports of evidence a second.
+constexpr Duration MinEvidenceInterval = std::chrono::milliseconds(100);
+
+constexpr Duration MinLoadPeriod = std::chrono::milliseconds(500);
+
+// Number of reports of loads that an instance gets per second in a large zone.
+constexpr size_t ReportsPerSecond = 64;
+
+// About 30 bytes each, so that half of a report of 1,200 bytes is left for the
+// loads. More evidence waits for the next report.
+constexpr size_t MaxEvidencePerReport = 20;
+
+// What can be sent within Lifetime.
+constexpr size_t MaxPendingEvidence = 400;
+
+// More than the largest zone has. Bounds the memory if addresses are forged.
+constexpr size_t MaxSenders = 4096;
+
+// A sender that was not heard from for this time may begin again with any
+// sequence number, since the clock of its machine may have been set back.
+constexpr Duration SequenceLifetime = std::chrono::seconds(30);
+
+// The clock of a virtual machine stops when the machine is suspended, and all
+// later reports seem delayed. After two windows the difference is taken as the
+// normal one. The datagrams that waited in the socket during a pause of the
+// receiver are read within much less than a window.
+constexpr Duration OffsetWindow = std::chrono::seconds(10);
+
+// A sequence number is the start of the process in seconds, followed by the
+// milliseconds since then.
+constexpr unsigned EraShift = 32;
+
+uint64_t eraOf(uint64_t Sequence) { return Sequence >> EraShift; }
+
+Duration timeOf(uint64_t Sequence) {
+  return std::chrono::milliseconds(Sequence & ((uint64_t{1} << EraShift) - 1));
+}
+
+} // namespace
+
+ReportScheduler::ReportScheduler(Options Opts, const Clock &TimeSource,
+                                 Hooks ReportHooks)
+    : Opts(std::move(Opts)), TimeSource(TimeSource),
+      ReportHooks(std::move(ReportHooks)), StartedAt(TimeSource.now()),
+      NextEvidenceAt(StartedAt), NextLoadsAt(StartedAt) {}
+
+Duration ReportScheduler::loadPeriod(size_t Instances) {
+  return std::max(MinLoadPeriod, Duration(std::chrono::seconds(1)) *
+                                     static_cast<int64_t>(Instances) /
+                                     static_cast<int64_t>(ReportsPerSecond));
+}
+
+// Instances that were started together report at different times of the
+// period, so that a large zone does not send all its reports at once.
+TimePoint ReportScheduler::timeOfNextLoads(TimePoint Now) const {
+  const Duration Period = loadPeriod(ReportHooks.InstancesInZone());
+  const Duration Phase(rendezvousScore(0, Opts.Self) %
+                       static_cast<uint64_t>(Period.count()));
+  const TimePoint Earliest = Now + Period / 2;
+  const Duration SincePhase = Earliest.time_since_epoch() - Phase;
+  const auto Periods = (SincePhase + Period - Duration(1)) / Period;
+  return TimePoint(Phase + Periods * Period);
+}
+
+void ReportScheduler::addEvidence(const UpstreamEvidence &Evidence) {
+  const TimePoint Now = TimeSource.now();
+  dropOutdatedEvidence();
+  std::erase_if(Pending, [&](const PendingEvidence &Entry) {
+    return Entry.Upstream == Evidence.Upstream;
+  });
+  // The oldest entry is the first one.
+  if (Pending.size() == MaxPendingEvidence)
+    Pending.erase(Pending.begin());
+  const PendingEvidence Added{Evidence.Upstream, Evidence.StartedAtMs,
+                              Now - std::max(Evidence.Age, Duration())};
+  Pending.insert(std::upper_bound(Pending.begin(), Pending.end(), Added,
+                                  [](const auto &A, const auto &B) {
+                                    return A.FoundAt < B.FoundAt;
+                                  }),
+                 Added);
+}
+
+void ReportScheduler::dropOutdatedEvidence() {
+  std::erase_if(Pending, [Now = TimeSource.now()](const auto &Entry) {
+    return Now - Entry.FoundAt > Lifetime;
+  });
+}
+
+TimePoint ReportScheduler::nextReportAt() const {
+  return Pending.empty() ? NextLoadsAt : std::min(NextEvidenceAt, NextLoadsAt);
+}
+
+std::optional<PeerReport> ReportScheduler::takeReport() {
+  const TimePoint Now = TimeSource.now();
+  dropOutdatedEvidence();
+  const bool IsEvidenceDue = !Pending.empty() && Now >= NextEvidenceAt;
+  const bool AreLoadsDue = Now >= NextLoadsAt;
+  if (!IsEvidenceDue && !AreLoadsDue)
+    return std::nullopt;
+  NextLoadsAt = timeOfNextLoads(Now);
+  PeerReport Report;
+  Report.Loads = ReportHooks.CollectLoads();
+  const bool HasLoads = !Report.Loads.empty();
+  const bool HasNewLoads = HasLoads || HadLoads;
+  HadLoads = HasLoads;
+  if (!IsEvidenceDue && !HasNewLoads)
+    return std::nullopt;
+  if (IsEvidenceDue) {
+    NextEvidenceAt = Now + MinEvidenceInterval;
+    Report.Evidence = extractEvidence();
+  }
+  Report.Sender = Opts.Self;
+  Report.Zone = Opts.Zone;
+  Report.Sequence = nextSequence();
+  return Report;
+}
+
+std::vector<UpstreamEvidence> ReportScheduler::extractEvidence() {
+  std::vector<UpstreamEvidence> Out;
+  while (!Pending.empty() && Out.size() < MaxEvidencePerReport) {
+    const PendingEvidence &Newest = Pending.back();
+    Out.push_back({Newest.Upstream, Newest.StartedAtMs,
+                   TimeSource.now() - Newest.FoundAt});
+    Pending.pop_back();
+  }
+  return Out;
+}
+
+uint64_t ReportScheduler::nextSequence() {
+  const uint64_t Milliseconds =
+      static_cast<uint64_t>(millisecondsOf(TimeSource.now() - StartedAt));
+  Sequence = std::max(Sequence + 1,
+                      (uint64_t{Opts.StartedAtS} << EraShift) + Milliseconds);
+  return Sequence;
+}
+
+bool ReportScheduler::accept(const PeerReport &Report) {
+  const TimePoint Now = TimeSource.now();
+  auto It = Senders.find(Report.Sender);
+  if (It != Senders.end() && Report.Sequence <= It->second.Sequence) {
+    if (Now - It->second.AcceptedAt <= SequenceLifetime)
+      return false;
+    Senders.erase(It);
+    It = Senders.end();
+  }
+  if (It == Senders.end()) {
+    if (!mayAddSender(Now))
+      return false;
+    It = Senders.try_emplace(Report.Sender).first;
+  }
+  Sender &Origin = It->second;
+  if (recordDelay(Origin, Report.Sequence, Now) > Lifetime)
+    return false;
+  Origin.Sequence = Report.Sequence;
+  Origin.AcceptedAt = Now;
+  return true;
+}
+
+Duration ReportScheduler::recordDelay(Sender &Origin, uint64_t Sequence,
+                                      TimePoint Now) {
+  const Duration Offset = Now.time_since_epoch() - timeOf(Sequence);
+  const bool IsNewProcess = eraOf(Sequence) != eraOf(Origin.Sequence) ||
+                            Origin.WindowStart == TimePoint();
+  if (IsNewProcess) {
+    Origin.WindowStart = Now;
+    Origin.Offset = Origin.PreviousOffset = Offset;
+  } else if (Now - Origin.WindowStart > OffsetWindow) {
+    Origin.WindowStart = Now;
+    Origin.PreviousOffset = Origin.Offset;
+    Origin.Offset = Offset;
+  }
+  Origin.Offset = std::min(Origin.Offset, Offset);
+  return Offset - std::min(Origin.Offset, Origin.PreviousOffset);
+}
+
+bool ReportScheduler::mayAddSender(TimePoint Now) {
+  if (Senders.size() >= MaxSenders)
+    std::erase_if(Senders, [Now](const auto &Entry) {
+      return Now - Entry.second.AcceptedAt > SequenceLifetime;
+    });
+  return Senders.size() < MaxSenders;
+}
+
+void removeOutdatedEvidence(PeerReport &Report) {
+  std::erase_if(Report.Evidence, [](const UpstreamEvidence &Entry) {
+    return Entry.Age > ReportScheduler::Lifetime;
+  });
+}
+
+} // namespace indigopoint
