Send and receive reports in the forwarder

Cause: the instances of a zone do not hear from each other which upstreams do not answer.

Ruled out: the HTTP exchange of store data as the transport; 300 instances would hold 299 connections each for data that is useful for 2 s.

Change: PeerReporter owns the socket, the timer and the scheduler. The setting reportAddress enables it; its recipients are the recent instances of the own zone. The hooks for reports and loads are not connected yet. Metric indigopoint_peer_reports_total by result.

Without the setting nothing is opened.

--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -10,6 +10,7 @@
 #include "forwarder_report.h"
 #include "http_server.h"
 #include "pause_guard.h"
+#include "peer_reporter.h"
 #include "steady_clock.h"
 #include "steering_log.h"
 #include "udp_endpoint.h"
@@ -82,6 +83,7 @@
   FlowSteering Steering;
   StoreUpdateApplier UpdateApplier;
   StoreFollower Follower;
+  PeerReporter Reports;
   UpstreamCheck Checks;
   UdpEndpoint DataSocket;
   HttpServer ReadinessServer;
@@ -137,6 +139,10 @@
                 [this](const StoreItem &Known, const StoreItem *Restored) {
                   return UpdateApplier.supersedes(Known, Restored);
                 }}),
+      Reports(Loop,
+              {this->Settings.ReportAddress, this->Settings.PeerAddress,
+               this->Settings.Zone},
+              TimeSource, {[this] { return Follower.recentPeersInZone(); }}),
       Checks(Loop, this->Settings.Policy.Checks.UseReference,
              [this](UpstreamId Id, bool IsAccepting) {
                onCheckResult(Id, IsAccepting);
@@ -175,6 +181,8 @@
   });
   if (std::string Problem = Follower.start(); !Problem.empty())
     return Problem;
+  if (std::string Problem = Reports.open(); !Problem.empty())
+    return Problem;
   MaintenanceTimer =
       LoopEvent::every(Loop, MaintenancePeriod, [this] { maintain(); });
   return {};
@@ -202,8 +210,10 @@
 }
 
 ForwarderView Forwarder::Impl::view() const {
-  return {Metrics,          Routes,           Upstreams, Follower,        Log,
-          Steering.flows(), InvalidDatagrams, isReady(), TimeSource.now()};
+  return {Metrics,           Routes,    Upstreams,
+          Follower,          Log,       Steering.flows(),
+          InvalidDatagrams,  isReady(), TimeSource.now(),
+          Reports.counters()};
 }
 
 void Forwarder::Impl::logOpenTimeout(const FlowAddress &Flow,
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -148,6 +148,14 @@
               {{"target", "peer"}, {"result", "answered"}}, Calls.Peer);
   Out.counter("indigopoint_calls_total", "Calls by target and result.",
               {{"target", "peer"}, {"result", "failed"}}, Calls.PeerFailed);
+  for (const auto &[Result, Count] :
+       {std::pair("sent", View.Reports.Sent),
+        std::pair("received", View.Reports.Received),
+        std::pair("rejected", View.Reports.Rejected),
+        std::pair("outdated", View.Reports.Outdated)})
+    Out.counter("indigopoint_peer_reports_total",
+                "Reports between the instances of the zone.",
+                {{"result", Result}}, Count);
   Out.counter("indigopoint_log_lines_suppressed_total",
               "Log lines over the rate or size.", {}, View.Log.suppressed());
 }
--- a/src/forwarder_report.h
+++ b/src/forwarder_report.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "event_log.h"
+#include "peer_reporter.h"
 #include "route_table.h"
 #include "steering_metrics.h"
 #include "store_follower.h"
@@ -23,6 +24,7 @@
   uint64_t InvalidDatagrams = 0;
   bool Ready = false;
   TimePoint Now{};
+  PeerReporter::Counters Reports;
 };
 
 /// Counters, gauges and histograms in the Prometheus text format.
--- a/src/forwarder_settings.cpp
+++ b/src/forwarder_settings.cpp
@@ -33,6 +33,11 @@
         Reader.endpoint("store", Settings.Store, true);
         Reader.endpoint("peerAddress", Settings.PeerAddress);
         Reader.endpoints("seeds", Settings.Seeds);
+        Reader.endpoint("reportAddress", Settings.ReportAddress);
+        if (Settings.ReportAddress.Port != 0 && Settings.PeerAddress.Port == 0)
+          Reader.fail("reportAddress", toString(Settings.ReportAddress),
+                      "add \"peerAddress\", by which the other instances know "
+                      "this one, or remove \"reportAddress\"");
         Reader.milliseconds("maxStoreAgeMs", Settings.MaxStoreAge,
                             MinStoreAgeMs, MaxStoreAgeMs);
         Reader.milliseconds("changeBoundMs", Settings.ChangeBound,
--- a/src/forwarder_settings.h
+++ b/src/forwarder_settings.h
@@ -25,6 +25,9 @@
   Endpoint PeerAddress;
   /// Peer addresses of some other instances. The list may be out of date.
   std::vector<Endpoint> Seeds;
+  /// Address at which the other instances of the zone report to this one; port
+  /// 0 disables reports. All instances of a zone use the same port.
+  Endpoint ReportAddress;
   /// Maximum age of the store data: the time since the store last confirmed it.
   Duration MaxStoreAge = std::chrono::seconds(4);
   /// Maximum time from the acknowledgement of a change by the store until this
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -49,6 +49,7 @@
   Duration dataAge() const { return TimeSource.now() - Sync.confirmedAt(); }
 
   EventLoop &Loop;
+  const std::string Zone;
   Endpoint Store;
   StoreProtocol Protocol;
   EventClock &TimeSource;
@@ -73,9 +74,9 @@
 StoreFollower::Impl::Impl(EventLoop &Loop, const ForwarderSettings &Settings,
                           StoreProtocol Protocol, EventClock &TimeSource,
                           EventLog &Log, Hooks StateHooks)
-    : Loop(Loop), Store(Settings.Store), Protocol(std::move(Protocol)),
-      TimeSource(TimeSource), Log(Log), StateHooks(std::move(StateHooks)),
-      Http(Loop),
+    : Loop(Loop), Zone(Settings.Zone), Store(Settings.Store),
+      Protocol(std::move(Protocol)), TimeSource(TimeSource), Log(Log),
+      StateHooks(std::move(StateHooks)), Http(Loop),
       Peers(ownPeerInfo(Settings), Settings.Seeds, TimeSource, Random),
       Sync(TimeSource, Random, delayAfterChange(Settings)),
       Planner({Settings.PeerAddress, Settings.MaxStoreAge, Settings.ChangeBound,
@@ -261,6 +262,15 @@
 
 size_t StoreFollower::peerCount() const { return PImpl->Peers.size(); }
 
+std::vector<Endpoint> StoreFollower::recentPeersInZone() const {
+  std::vector<Endpoint> Out;
+  for (const PeerInfo &Peer :
+       PImpl->Peers.recentPeers(PImpl->Zone, PImpl->Peers.size()))
+    if (Peer.Zone == PImpl->Zone)
+      Out.push_back(Peer.Address);
+  return Out;
+}
+
 std::vector<Endpoint> StoreFollower::membersOf(const std::string &Zone) const {
   return PImpl->Peers.membersOf(Zone);
 }
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -58,6 +58,10 @@
   /// Returns the number of other instances that were recently heard from.
   size_t peerCount() const;
 
+  /// Returns the peer addresses of the other instances of the own zone that
+  /// were recently heard from.
+  std::vector<Endpoint> recentPeersInZone() const;
+
   /// See PeerTable::membersOf.
   std::vector<Endpoint> membersOf(const std::string &Zone) const;
 
--- a/tests/forwarder_settings_test.cpp
+++ b/tests/forwarder_settings_test.cpp
@@ -49,6 +49,20 @@
             "nearest known key \"store\"");
 }
 
+// Guards against reports without an address that tells their senders apart.
+TEST(ForwarderSettingsTest, ReportAddressNeedsAPeerAddress) {
+  ForwarderSettings Settings;
+  const std::string ReportAddress = R"(,"reportAddress":"10.1.0.1:7721")";
+  const auto Errors = parseForwarderSettings(
+      "{" + Minimal + R"(,"peerAddress":"10.1.0.1:8166")" + ReportAddress + "}",
+      "s.json", Settings);
+  ASSERT_TRUE(Errors.empty()) << toString(Errors[0]);
+  EXPECT_EQ(toString(Settings.ReportAddress), "10.1.0.1:7721");
+  const auto Missing = errorsOf(Minimal + ReportAddress);
+  ASSERT_EQ(Missing.size(), 1U);
+  EXPECT_EQ(Missing[0].Pointer, "/reportAddress");
+}
+
 TEST(ForwarderSettingsTest, ReadsPolicyOptions) {
   ForwarderSettings Settings;
   const auto Errors = parseForwarderSettings("{" + Minimal + R"(,
--- /dev/null
+++ b/tests/peer_reporter_test.cpp
@@ -0,0 +1,155 @@
+#include "peer_reporter.h"
+
+#include <gtest/gtest.h>
+
+#include "loop_test_support.h"
+#include "peer_report_codec.h"
+#include "udp_endpoint.h"
+
+namespace indigopoint {
+namespace {
+
+constexpr uint32_t FirstIp = 0x7f000001;
+constexpr uint32_t SecondIp = 0x7f000002;
+constexpr uint16_t PeerPort = 8166;
+
+Upstream unresponsiveUpstream(uint64_t Id) {
+  static const ReachabilityOptions Reachability;
+  Upstream Out(Reachability);
+  Out.Registration.Id = UpstreamId(Id);
+  Out.Registration.StartedAtMs = 1000;
+  return Out;
+}
+
+// Two reporters of one zone on two loopback addresses with the same port.
+class PeerReporterTest : public testing::Test {
+protected:
+  // Asks the system for a port that is free at the first address.
+  static uint16_t freePort() {
+    EventLoop Loop;
+    UdpEndpoint Probe{MaxReportBytes};
+    EXPECT_FALSE(Probe.open(Loop, AnyPort, [](Endpoint, std::string_view) {}));
+    return Probe.address().Port;
+  }
+
+  PeerReporter::Options optionsOf(uint32_t Ip) const {
+    return {{Ip, Port}, {Ip, PeerPort}, "lim-a"};
+  }
+
+  const uint16_t Port = freePort();
+  EventLoop Loop;
+  EventClock TimeSource;
+  std::vector<ServiceLoad> Loads;
+  std::vector<PeerReport> Received;
+  PeerReporter First{Loop,
+                     optionsOf(FirstIp),
+                     TimeSource,
+                     {[] {
+                        return std::vector{Endpoint{SecondIp, PeerPort}};
+                      },
+                      [](const PeerReport &) {}, [this] { return Loads; }}};
+  PeerReporter Second{
+      Loop,
+      optionsOf(SecondIp),
+      TimeSource,
+      {[] {
+         return std::vector{Endpoint{FirstIp, PeerPort}};
+       },
+       [this](const PeerReport &Report) { Received.push_back(Report); }}};
+};
+
+TEST_F(PeerReporterTest, DeliversEvidenceAtOnce) {
+  ASSERT_EQ(First.open(), "");
+  ASSERT_EQ(Second.open(), "");
+  runFor(Loop, std::chrono::milliseconds(20));
+  TimeSource.refresh();
+  const TimePoint AddedAt = TimeSource.now();
+  First.addEvidence(unresponsiveUpstream(7));
+  ASSERT_TRUE(runUntil(Loop, [&] { return !Received.empty(); }));
+  EXPECT_LT(SteadyClock().now() - AddedAt, std::chrono::milliseconds(500));
+  ASSERT_EQ(Received[0].Evidence.size(), 1U);
+  EXPECT_EQ(Received[0].Evidence[0].Upstream, UpstreamId(7));
+  EXPECT_EQ(Received[0].Evidence[0].StartedAtMs, 1000);
+  EXPECT_EQ(Received[0].Sender, (Endpoint{FirstIp, PeerPort}));
+  EXPECT_EQ(First.counters().Sent, 1U);
+  EXPECT_EQ(Second.counters().Received, 1U);
+}
+
+TEST_F(PeerReporterTest, ReportsLoadsPeriodically) {
+  Loads = {{"chat", 2, 3}};
+  ASSERT_EQ(First.open(), "");
+  ASSERT_EQ(Second.open(), "");
+  ASSERT_TRUE(runUntil(Loop, [&] { return Received.size() >= 3; }));
+  EXPECT_EQ(Received[2].Loads, Loads);
+}
+
+TEST_F(PeerReporterTest, CountsRejectedAndOutdatedReports) {
+  ASSERT_EQ(Second.open(), "");
+  UdpEndpoint Socket{MaxReportBytes};
+  ASSERT_FALSE(Socket.open(Loop, AnyPort, [](Endpoint, std::string_view) {}));
+  const auto Send = [&](const std::string &Bytes) {
+    Socket.nextBuffer() = Bytes;
+    Socket.commit({SecondIp, Port});
+  };
+  const PeerReport Report{{FirstIp, PeerPort}, "lim-a", 1, {}, {}};
+  PeerReport Foreign = Report;
+  Foreign.Zone = "lim-b";
+  PeerReport Reflected = Report;
+  Reflected.Sender.Address = SecondIp;
+  Send("");
+  Send("no report");
+  Send(std::string(MaxReportBytes + 1, 'x'));
+  Send(encodePeerReport(Foreign));
+  Send(encodePeerReport(Reflected));
+  Send(encodePeerReport(Report));
+  Send(encodePeerReport(Report));
+  Socket.flush();
+  ASSERT_TRUE(runUntil(Loop, [&] { return Second.counters().Outdated == 1; }));
+  EXPECT_EQ(Second.counters().Rejected, 5U);
+  EXPECT_EQ(Second.counters().Received, 1U);
+  EXPECT_EQ(Received.size(), 1U);
+}
+
+// Guards against a socket or datagrams of instances that do not name the
+// setting.
+TEST_F(PeerReporterTest, DoesNothingWithoutAnAddress) {
+  PeerReporter Disabled(Loop, {{}, {FirstIp, PeerPort}, "lim-a"}, TimeSource,
+                        {[] {
+                           return std::vector{Endpoint{SecondIp, PeerPort}};
+                         },
+                         [](const PeerReport &) {},
+                         [] {
+                           return std::vector<ServiceLoad>{{"chat", 2, 3}};
+                         }});
+  ASSERT_EQ(Disabled.open(), "");
+  ASSERT_EQ(Second.open(), "");
+  Disabled.addEvidence(unresponsiveUpstream(7));
+  runFor(Loop, std::chrono::milliseconds(700));
+  EXPECT_EQ(Disabled.counters().Sent, 0U);
+  EXPECT_TRUE(Received.empty());
+}
+
+TEST_F(PeerReporterTest, NamesTheSettingOfAnAddressInUse) {
+  ASSERT_EQ(First.open(), "");
+  PeerReporter Other(Loop, optionsOf(FirstIp), TimeSource, {});
+  EXPECT_NE(Other.open().find("/reportAddress"), std::string::npos);
+}
+
+// Guards against a peer that is gone and blocks the reports to the others.
+TEST_F(PeerReporterTest, SendsOnWhileAPeerIsGone) {
+  PeerReporter Sender(Loop, optionsOf(FirstIp), TimeSource,
+                      {[] {
+                         return std::vector{Endpoint{0x7f000003, PeerPort},
+                                            Endpoint{SecondIp, PeerPort}};
+                       },
+                       [](const PeerReport &) {},
+                       [] {
+                         return std::vector<ServiceLoad>{{"chat", 2, 3}};
+                       }});
+  ASSERT_EQ(Sender.open(), "");
+  ASSERT_EQ(Second.open(), "");
+  EXPECT_TRUE(runUntil(Loop, [&] { return Received.size() >= 3; }));
+}
+
+} // namespace
+} // namespace indigopoint
