Report not ready while neither upstreams nor the store answer

Cause: a zone that is cut off from the store and from the other zones while its upstreams restart under new ids knows no upstream that answers, and keeps its clients.

Ruled out: sending to the known addresses. They may belong to another service by then, and nothing but the store tells. Also ruled out: trials after each instance's own delay. The instances of a zone would try one after the other, and a single ready instance gets all clients of the zone; the trials are counted from the store's last confirmation instead.

Change: ReachabilityGate, without I/O. FlowSteering records openings and answers. Events upstreams-lost and upstreams-regained, metric indigopoint_upstreams_lost_total.

--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -19,6 +19,8 @@
     "settings-refused",
     "store-lost",
     "store-regained",
+    "upstreams-lost",
+    "upstreams-regained",
     "store-restored",
     "registration-outdated",
     "pause-noticed",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -24,6 +24,10 @@
   /// The store cannot be reached.
   StoreLost,
   StoreRegained,
+  /// No upstream answers and the store data is outdated, so the instance is not
+  /// ready.
+  UpstreamsLost,
+  UpstreamsRegained,
   /// The store came back from an older copy.
   StoreRestored,
   /// The restored store has an older registration than what was known.
@@ -55,7 +59,7 @@
   LinesSuppressed
 };
 
-constexpr size_t LogEventCount = 25;
+constexpr size_t LogEventCount = 27;
 
 std::string_view nameOf(LogEvent Value);
 
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -222,6 +222,9 @@
 SteeringDecision FlowSteering::forwardOpening(SteeringReason Reason,
                                               Upstream &Target) {
   Warmups.recordOpening(Target, TimeSource.now());
+  if (Opts.Gate != nullptr)
+    Opts.Gate->recordOpening(Target.Registration.Service,
+                             Target.Registration.Id, TimeSource.now());
   return forwardUnlessAddressReused(Reason, Target);
 }
 
@@ -367,6 +370,8 @@
   Flow.HighestAck = Packet.AckNumber;
   Flow.HasRetransmitted = false;
   LastAnswerFromAnyUpstream = Now;
+  if (Opts.Gate != nullptr)
+    Opts.Gate->recordAnswer(Now);
   Target.Reachability.recordAnswer(Now);
 }
 
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -8,6 +8,7 @@
 #include "balancing_policy.h"
 #include "clock.h"
 #include "packet.h"
+#include "reachability_gate.h"
 #include "route_table.h"
 #include "steered_flow_table.h"
 #include "steering_decision.h"
@@ -28,6 +29,8 @@
     CheckOptions Checks = {};
     /// The address that identifies this instance among InstancesOfZone.
     Endpoint Self = {};
+    /// Gets the openings and answers; may be null.
+    ReachabilityGate *Gate = nullptr;
   };
 
   struct Hooks {
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -67,8 +67,10 @@
   void finishStop();
   void recordActivity();
   bool isReady() const {
-    return !Drain && Routes.isLoaded() && Upstreams.isComplete();
+    return !Drain && Routes.isLoaded() && Upstreams.isComplete() &&
+           Gate.isReachable(TimeSource.now());
   }
+  void updateGate();
   EventLog::Fields storeStateFields() const;
 
   EventLoop &Loop;
@@ -80,6 +82,10 @@
   RouteTable Routes;
   UpstreamRegistry Upstreams;
   SteeringMetrics Metrics;
+  ReachabilityGate Gate;
+  bool WasReachable = true;
+  /// How often no upstream was reachable any more.
+  uint64_t UpstreamLosses = 0;
   FlowSteering Steering;
   StoreUpdateApplier UpdateApplier;
   StoreFollower Follower;
@@ -105,11 +111,12 @@
       OnStop(std::move(OnStop)),
       Log({this->Settings.Name, this->Settings.LogLinesPerSecond}, TimeSource),
       Upstreams(this->Settings.Policy.Reachability),
+      Gate(this->Settings.MaxStoreAge),
       Steering({this->Settings.Zone,
                 makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
                                               this->Settings.Policy.Placement),
                 this->Settings.Policy.Placement, this->Settings.Policy.Checks,
-                this->Settings.PeerAddress},
+                this->Settings.PeerAddress, &Gate},
                TimeSource, Routes, Upstreams, Metrics,
                {[this](const FlowAddress &Flow,
                        const Upstream &UnresponsiveUpstream) {
@@ -167,6 +174,8 @@
   ReadinessServer.route(
       "GET", Protocol.ReadyPath,
       [this](const HttpRequest &, const HttpServer::Respond &Respond) {
+        recordActivity();
+        updateGate();
         Respond({isReady() ? 200 : 503, "{}"});
       });
   if (std::string Problem = openReport(); !Problem.empty())
@@ -210,10 +219,17 @@
 }
 
 ForwarderView Forwarder::Impl::view() const {
-  return {Metrics,           Routes,    Upstreams,
-          Follower,          Log,       Steering.flows(),
-          InvalidDatagrams,  isReady(), TimeSource.now(),
-          Reports.counters()};
+  return {Metrics,
+          Routes,
+          Upstreams,
+          Follower,
+          Log,
+          Steering.flows(),
+          InvalidDatagrams,
+          isReady(),
+          TimeSource.now(),
+          Reports.counters(),
+          UpstreamLosses};
 }
 
 void Forwarder::Impl::logOpenTimeout(const FlowAddress &Flow,
@@ -268,6 +284,7 @@
   if (!Pauses.recordActivity(TimeSource.now()))
     return;
   Log.write(LogEvent::PauseNoticed, [this] { return storeStateFields(); });
+  Gate.discardOpenings();
   Follower.confirmNow();
 }
 
@@ -319,6 +336,7 @@
   recordActivity();
   Upstreams.recordStoreSync(Follower.sync().confirmedAt());
   UpdateApplier.applyDue();
+  updateGate();
   if (TimeSource.now() - LastExpiry >= ExpiryPeriod) {
     LastExpiry = TimeSource.now();
     Steering.sweep();
@@ -326,6 +344,21 @@
   writePending(Log, STDOUT_FILENO);
 }
 
+void Forwarder::Impl::updateGate() {
+  if (Drain || !Routes.isLoaded())
+    return;
+  Gate.update(Upstreams.available(), Follower.sync().confirmedAt(),
+              TimeSource.now());
+  const bool IsReachable = Gate.isReachable(TimeSource.now());
+  if (IsReachable == WasReachable)
+    return;
+  WasReachable = IsReachable;
+  if (!IsReachable)
+    ++UpstreamLosses;
+  Log.write(IsReachable ? LogEvent::UpstreamsRegained : LogEvent::UpstreamsLost,
+            [this] { return storeStateFields(); });
+}
+
 void Forwarder::Impl::stop() {
   TimeSource.refresh();
   if (Drain)
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -127,6 +127,9 @@
   Out.counter("indigopoint_store_restorations_total",
               "Times that the store came back from an older copy.", {},
               View.Follower.restorations());
+  Out.counter("indigopoint_upstreams_lost_total",
+              "Times that no upstream was reachable any more.", {},
+              View.UpstreamLosses);
   Out.gauge("indigopoint_store_failures", "Failed calls in a row.", {},
             View.Follower.sync().failures());
   Out.gauge("indigopoint_peers", "Other instances heard of lately.", {},
--- a/src/forwarder_report.h
+++ b/src/forwarder_report.h
@@ -25,6 +25,8 @@
   bool Ready = false;
   TimePoint Now{};
   PeerReporter::Counters Reports;
+  /// How often no upstream was reachable any more.
+  uint64_t UpstreamLosses = 0;
 };
 
 /// Counters, gauges and histograms in the Prometheus text format.
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -145,6 +145,18 @@
          !Evacuations.contains(Target.Registration.Zone);
 }
 
+ReachabilityGate::Available UpstreamRegistry::available() const {
+  ReachabilityGate::Available Out;
+  for (const auto &[Service, Members] : Services) {
+    const auto Count = static_cast<size_t>(std::count_if(
+        Members.begin(), Members.end(),
+        [this](const Upstream *Member) { return takesNewFlows(*Member); }));
+    Out.Upstreams += Count;
+    Out.Services += Count > 0 ? 1 : 0;
+  }
+  return Out;
+}
+
 bool UpstreamRegistry::isPresumedStopped(const Upstream &Target) const {
   return Target.State == UpstreamState::Unregistered &&
          LastStoreSync - Target.UnregisteredAt >= ReRegistrationTime &&
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -8,6 +8,7 @@
 
 #include "evacuation_table.h"
 #include "packet.h"
+#include "reachability_gate.h"
 #include "reachability_tracker.h"
 #include "response_time_tracker.h"
 #include "types.h"
@@ -138,6 +139,9 @@
   /// and not in an evacuated zone.
   bool takesNewFlows(const Upstream &Target) const;
 
+  /// The upstreams that take new flows, and their services.
+  ReachabilityGate::Available available() const;
+
   /// All upstreams of a service, in any state.
   const std::vector<Upstream *> &
   upstreamsOfService(const std::string &Service) const;
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -216,6 +216,42 @@
   EXPECT_GT(Sent, 100U);
 }
 
+// Guards against a cut zone that keeps its clients although its upstreams were
+// restarted under ids that its instances do not know, and against one that
+// stays closed after the cut.
+TEST_F(ForwarderTest, IsNotReadyWhileNeitherUpstreamsNorStoreAnswer) {
+  Instance.reset();
+  Settings.MaxStoreAge = 1500ms;
+  Instance =
+      std::make_unique<Forwarder>(Loop, Settings, forwarderProtocol(), [] {});
+  ASSERT_EQ(Instance->start(), "");
+  PendingResponses.clear();
+  answerSnapshot();
+  const LoopEvent Traffic =
+      LoopEvent::every(Loop, 50ms, [this] { sendOpening(); });
+  runFor(Loop, 800ms);
+  EXPECT_EQ(readiness(), 200) << "the store data is recent";
+  runFor(Loop, 1500ms);
+  EXPECT_EQ(readiness(), 503);
+  const HttpResult Metrics = get(Settings.MetricsAddress, "/metrics");
+  EXPECT_NE(Metrics.Body.find("indigopoint_upstreams_lost_total 1"),
+            std::string::npos);
+  // Until now, the store has refused to be watched. It answers one request and
+  // holds the next one.
+  bool HasAnswered = false;
+  Store.route("GET", "/kv-watch",
+              [&](const HttpRequest &, const HttpServer::Respond &Respond) {
+                if (!HasAnswered)
+                  Respond({200, R"({"events":[],"StoreRevision":2})"});
+                else
+                  PendingResponses.push_back(Respond);
+                HasAnswered = true;
+              });
+  ASSERT_TRUE(runUntil(Loop, [&] { return HasAnswered; }));
+  runFor(Loop, 50ms);
+  EXPECT_EQ(readiness(), 200) << "the store has answered";
+}
+
 // Routers keep sending packets until they notice the failed readiness check,
 // and longer if most instances of a zone are shutting down.
 TEST_F(ForwarderTest, ShutdownForwardsUntilTrafficStops) {
