--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -127,6 +127,9 @@
   Out.counter("indigopoint_store_restorations_total",
               "Times that the store came back from an older copy.", {},
               View.Follower.restorations());
+  Out.counter("indigopoint_upstreams_lost_total",
+              "Times that no upstream was reachable any more.", {},
+              View.UpstreamLosses);
   Out.gauge("indigopoint_store_failures", "Failed calls in a row.", {},
             View.Follower.sync().failures());
   Out.gauge("indigopoint_peers", "Other instances heard of lately.", {},
@@ -148,6 +151,14 @@
               {{"target", "peer"}, {"result", "answered"}}, Calls.Peer);
   Out.counter("indigopoint_calls_total", "Calls by target and result.",
               {{"target", "peer"}, {"result", "failed"}}, Calls.PeerFailed);
+  for (const auto &[Result, Count] :
+       {std::pair("sent", View.Reports.Sent),
+        std::pair("received", View.Reports.Received),
+        std::pair("rejected", View.Reports.Rejected),
+        std::pair("outdated", View.Reports.Outdated)})
+    Out.counter("indigopoint_peer_reports_total",
+                "Reports between the instances of the zone.",
+                {{"result", Result}}, Count);
   Out.counter("indigopoint_log_lines_suppressed_total",
               "Log lines over the rate or size.", {}, View.Log.suppressed());
 }
