Rank upstreams that leave requests unanswered behind others

Cause: response times of finished exchanges do not show a request that never ends. A fifth of a service's upstreams that left 45% of the requests unanswered kept getting new flows. Change: ExchangeTracker holds the open exchanges of an upstream, ExchangeMonitor finds the overdue and abandoned ones, ResponsivenessTracker keeps the evidence of one upstream with backoff and trials, PeerEvidence that of other instances within its limits. The policy ranks by it (placement.avoidUnresponsive).

--- a/src/balancing_policy.cpp
+++ b/src/balancing_policy.cpp
@@ -1,7 +1,6 @@
 #include "balancing_policy.h"
 
 #include <algorithm>
-#include <optional>
 #include <tuple>
 
 #include "placement.h"
@@ -22,22 +21,6 @@
   return Target.Registration.Slots * (Target.WarmupEnd > Now ? WarmupShare : 1);
 }
 
-// The median of the upstreams' average response times; nothing if none is
-// known.
-std::optional<Duration>
-medianResponseTime(const std::vector<Upstream *> &Candidates, TimePoint Now) {
-  std::vector<Duration> Averages;
-  for (const Upstream *Candidate : Candidates)
-    if (const auto Average = Candidate->ResponseTimes.recentAverage(Now))
-      Averages.push_back(*Average);
-  if (Averages.empty())
-    return std::nullopt;
-  const auto Middle =
-      Averages.begin() + static_cast<ptrdiff_t>(Averages.size() / 2);
-  std::nth_element(Averages.begin(), Middle, Averages.end());
-  return *Middle;
-}
-
 // How many times as long as usual the upstream takes for an answer; 1 if that
 // is not known.
 double slowdownOf(const Upstream &Target, std::optional<Duration> Usual,
@@ -73,6 +56,10 @@
   bool isSuspect(const Upstream &Candidate, TimePoint Now) const {
     return Opts.AvoidSuspects && Candidate.Reachability.isSuspect(Now);
   }
+  bool isUnresponsive(const Upstream &Candidate, TimePoint Now) const {
+    return Opts.AvoidUnresponsive &&
+           Candidate.Responsiveness.isUnresponsive(Now);
+  }
   /// The load by which upstreams of equal rank are compared.
   double loadOf(const Upstream &Candidate, std::optional<Duration> Usual,
                 TimePoint Now) const;
@@ -136,7 +123,7 @@
       Opts.CountResponseTime ? medianResponseTime(Candidates, Now)
                              : std::nullopt;
   Upstream *BestCandidate = nullptr;
-  std::tuple<bool, bool, bool, bool, double, uint64_t> BestScore;
+  std::tuple<bool, bool, bool, bool, bool, double, uint64_t> BestScore;
   for (Upstream *Candidate : Candidates) {
     const UpstreamRegistration &Registration = Candidate->Registration;
     const bool IsUnproven = NeedsProof && !hasAnsweredRecently(*Candidate, Now);
@@ -147,7 +134,7 @@
     // different flows over different upstreams.
     const std::tuple Score(
         Registration.Id == Flow.UpstreamToAvoid, isSuspect(*Candidate, Now),
-        LeaveZone ? IsInWrongZone : IsUnproven,
+        isUnresponsive(*Candidate, Now), LeaveZone ? IsInWrongZone : IsUnproven,
         LeaveZone ? IsUnproven : IsInWrongZone, loadOf(*Candidate, Usual, Now),
         rendezvousScore(Hash, Registration.Id.value()));
     if (BestCandidate == nullptr || Score < BestScore) {
@@ -160,6 +147,20 @@
 
 } // namespace
 
+std::optional<Duration>
+medianResponseTime(const std::vector<Upstream *> &Candidates, TimePoint Now) {
+  std::vector<Duration> Averages;
+  for (const Upstream *Candidate : Candidates)
+    if (const auto Average = Candidate->ResponseTimes.recentAverage(Now))
+      Averages.push_back(*Average);
+  if (Averages.empty())
+    return std::nullopt;
+  const auto Middle =
+      Averages.begin() + static_cast<ptrdiff_t>(Averages.size() / 2);
+  std::nth_element(Averages.begin(), Middle, Averages.end());
+  return *Middle;
+}
+
 double flowsPerSlot(const Upstream &Target, TimePoint Now, double WarmupShare) {
   return (Target.OpenFlows + 1) / slotsOf(Target, Now, WarmupShare);
 }
--- a/src/balancing_policy.h
+++ b/src/balancing_policy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,13 +33,19 @@
 double flowsPerSlot(const Upstream &Target, TimePoint Now,
                     double WarmupShare = PlacementOptions().WarmupShare);
 
+/// The median of the upstreams' average response times; nothing if none is
+/// known.
+std::optional<Duration>
+medianResponseTime(const std::vector<Upstream *> &Candidates, TimePoint Now);
+
 /// Returns a policy that prefers upstreams that are not suspect, then
-/// those in \p Zone to those in other zones, then the fewest flows per slot.
-/// Because of the zone preference, a network partition between zones affects
-/// only the flows of clients in another zone. If the zone lost a large
-/// share of its slots, the same share of the flows prefers other zones.
-/// An upstream that answers more slowly than the others of its service counts
-/// with accordingly fewer slots. \p Opts can switch off each of these rules.
+/// responsive ones, then those in \p Zone to those in other zones, then the
+/// fewest flows per slot. Because of the zone preference, a network partition
+/// between zones affects only the flows of clients in another zone. If the zone
+/// lost a large share of its slots, the same share of the flows prefers other
+/// zones. An upstream that answers more slowly than the others of its service
+/// counts with accordingly fewer slots. \p Opts can switch off each of these
+/// rules.
 BalancingPolicy makeZoneAwareLeastFlowsPolicy(std::string Zone,
                                               PlacementOptions Opts = {});
 
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -24,6 +24,7 @@
       TimeSource.now(), [this](const FlowAddress &Address, SteeredFlow &Flow) {
         onOpenTimeout(Address, Flow);
       });
+  Exchanges.reportOverdue(TimeSource.now());
   const SteeringDecision Decision = decide(Packet);
   Metrics.countDecision(Decision);
   return Decision;
@@ -103,6 +104,7 @@
   if (MatchedRoute == nullptr)
     return {SteeringAction::Reset, SteeringReason::NoRoute, nullptr};
   if (Flow != nullptr && Flow->InitialSequence != Packet.Sequence) {
+    Exchanges.recordAbandonment(*Flow, TimeSource.now());
     uncountFlow(*Flow);
     Flows.erase(Packet.Flow);
     Flow = nullptr;
@@ -168,6 +170,7 @@
     clearPendingOpening(*Flow);
     Flow->IsCountedAsPending = true;
     Target->Reachability.recordOpening(Now);
+    Exchanges.recordOpening(Packet.Flow, *Target, Now);
     LastFlowByClient[Packet.Flow.Client.Address] = Packet.Flow;
   }
   ServiceFlowMetrics &Service = Metrics.service(Target->Registration.Service);
@@ -185,12 +188,15 @@
 // time between the two openings is about TypicalOpenLatency.
 UpstreamId FlowSteering::checkPreviousOpening(const FlowAddress &Flow) {
   const auto LastFlow = LastFlowByClient.find(Flow.Client.Address);
-  const SteeredFlow *PreviousFlow = LastFlow == LastFlowByClient.end()
-                                        ? nullptr
-                                        : Flows.find(LastFlow->second);
-  if (PreviousFlow == nullptr || !PreviousFlow->IsCountedAsPending ||
+  SteeredFlow *PreviousFlow = LastFlow == LastFlowByClient.end()
+                                  ? nullptr
+                                  : Flows.find(LastFlow->second);
+  if (PreviousFlow == nullptr ||
       LastFlow->second.ServiceAddress != Flow.ServiceAddress)
     return {};
+  Exchanges.recordAbandonment(*PreviousFlow, TimeSource.now());
+  if (!PreviousFlow->IsCountedAsPending)
+    return {};
   Upstream *Target = Upstreams.find(PreviousFlow->Upstream);
   if (Target != nullptr &&
       TimeSource.now() - PreviousFlow->OpenedAt >= TypicalOpenLatency * 9 / 10)
@@ -216,6 +222,7 @@
   for (Upstream *Candidate : Upstreams.upstreamsOfService(Service))
     if (canAssignFlow(*Candidate, FlowToOpen.Address))
       Candidates.push_back(Candidate);
+  Exchanges.applyPeerEvidence(Service, TimeSource.now());
   return Opts.Policy(Candidates, FlowToOpen, TimeSource.now());
 }
 
@@ -340,8 +347,10 @@
   if (HasNewData) {
     Flow.NextSequence = DataEnd;
     Flow.LastNewDataAt = Now;
-    if (!Flow.RequestSentAt)
+    if (!Flow.RequestSentAt) {
       Flow.RequestSentAt = Now;
+      Exchanges.recordRequest(Packet.Flow, Flow, Target);
+    }
   }
   if (IsRetransmission) {
     if (!Flow.HasRetransmitted)
@@ -351,8 +360,10 @@
       Target.Reachability.recordRetransmission(Now);
     requestCheckIfDue(Target);
   }
-  if (Packet.IsFinal || Packet.IsReset)
+  if (Packet.IsFinal || Packet.IsReset) {
+    Exchanges.recordAbandonment(Flow, Now);
     setPhase(Flow, SteeredFlow::Phase::Closing);
+  }
   return IsRetransmission;
 }
 
@@ -363,6 +374,7 @@
   const TimePoint Now = TimeSource.now();
   if (Flow.RequestSentAt && !Flow.HasRetransmitted)
     Target.ResponseTimes.record(Now - *Flow.RequestSentAt, Now);
+  ExchangeMonitor::recordAnswer(Flow, Target, Now);
   Flow.RequestSentAt.reset();
   Flow.HighestAck = Packet.AckNumber;
   Flow.HasRetransmitted = false;
@@ -397,6 +409,7 @@
 
 void FlowSteering::uncountFlow(SteeredFlow &Flow) {
   clearPendingOpening(Flow);
+  Exchanges.end(Flow);
   if (Flow.CurrentPhase == SteeredFlow::Phase::Closing)
     return;
   if (Upstream *OldUpstream = Upstreams.find(Flow.Upstream);
@@ -420,6 +433,8 @@
       [this](const FlowAddress &, SteeredFlow &Flow) { uncountFlow(Flow); });
   // An upper limit on the lifetime of any flow.
   constexpr Duration FlowLifetime = std::chrono::minutes(2);
+  Exchanges.reportOverdue(Now);
+  Exchanges.expire(Now);
   Upstreams.expire(Now, FlowLifetime);
   Warmups.expire(Now);
   std::erase_if(RetransmittingFlows, [this](const auto &Entry) {
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -7,6 +7,7 @@
 
 #include "balancing_policy.h"
 #include "clock.h"
+#include "exchange_monitor.h"
 #include "packet.h"
 #include "route_table.h"
 #include "steered_flow_table.h"
@@ -47,6 +48,14 @@
     WarmupLimiter::InstancesHook InstancesOfZone = [](const std::string &) {
       return std::vector<Endpoint>();
     };
+    /// Called when this instance has new evidence that an upstream is
+    /// unresponsive, for the other instances of its zone.
+    std::function<void(const Upstream &)> OnUnresponsive =
+        [](const Upstream &) {};
+    /// Called when an upstream becomes unresponsive by evidence that other
+    /// instances reported.
+    std::function<void(const Upstream &)> OnReportedUnresponsive =
+        [](const Upstream &) {};
   };
 
   FlowSteering(Options Opts, const Clock &TimeSource, RouteTable &Routes,
@@ -54,13 +63,22 @@
                Hooks FlowHooks)
       : Opts(std::move(Opts)), TimeSource(TimeSource), Routes(Routes),
         Upstreams(Upstreams), Metrics(Metrics), FlowHooks(std::move(FlowHooks)),
-        Warmups(this->Opts.Self, this->FlowHooks.InstancesOfZone) {}
+        Warmups(this->Opts.Self, this->FlowHooks.InstancesOfZone),
+        Exchanges(this->Opts.Zone, this->Opts.Self, Routes, Upstreams, Flows,
+                  {this->FlowHooks.OnUnresponsive,
+                   this->FlowHooks.OnReportedUnresponsive,
+                   this->FlowHooks.IsOutdated}) {}
 
   SteeringDecision steer(const PacketHeader &Packet);
 
   /// Processes the result of a check that OnCheckNeeded requested.
   void recordCheckResult(UpstreamId Id, bool IsAccepting);
 
+  /// Processes evidence that another instance of the zone reported.
+  void recordPeerEvidence(const PeerReport &Report) {
+    Exchanges.recordPeerEvidence(Report, TimeSource.now());
+  }
+
   /// Removes closed and idle flows, and upstreams that no flow can use any
   /// more. Called about once a second.
   void sweep();
@@ -131,6 +149,7 @@
   Hooks FlowHooks;
   WarmupLimiter Warmups;
   SteeredFlowTable Flows;
+  ExchangeMonitor Exchanges;
   /// The flow that each client opened last, by the client's address.
   std::unordered_map<uint32_t, FlowAddress> LastFlowByClient;
   /// Flows whose clients retransmit, by upstream. May also hold flows that were
--- a/src/policy_options.h
+++ b/src/policy_options.h
@@ -32,6 +32,8 @@
   /// Send a new flow to another upstream than the client's previous flow if
   /// that one was probably refused.
   bool AvoidRefusedUpstream = true;
+  /// Prefer upstreams that are not unresponsive.
+  bool AvoidUnresponsive = true;
   bool operator==(const PlacementOptions &) const = default;
 };
 
--- a/src/steered_flow_table.h
+++ b/src/steered_flow_table.h
@@ -41,6 +41,16 @@
   /// When the first data after the last answer was seen; unset if the flow
   /// waits for no answer.
   std::optional<TimePoint> RequestSentAt;
+  /// Whether the request is counted in its upstream's open exchanges.
+  bool IsCountedAsExchange = false;
+  /// Whether the exchange has been open for long enough to be evidence that the
+  /// upstream is unresponsive.
+  bool IsEvidence = false;
+  /// Whether the client has presumably given up the exchange.
+  bool IsAbandoned = false;
+  /// From this time on, the end of the exchange without an answer means that
+  /// the client's time limit has passed.
+  TimePoint AbandonedFrom{};
   /// When data was last seen that the client had not sent before.
   TimePoint LastNewDataAt{};
 };
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -57,6 +57,8 @@
   if (Result == Change::Restarted) {
     Entry.Reachability.reset();
     Entry.ResponseTimes = {};
+    Entry.Exchanges.reset(Now);
+    Entry.Responsiveness.reset(Now);
   }
   Entry.Registration = Registration;
   Entry.State = NewState;
@@ -174,6 +176,14 @@
       [State](const auto &Entry) { return Entry.second.State == State; });
 }
 
+size_t UpstreamRegistry::countUnresponsive(TimePoint Now) const {
+  return std::count_if(
+      Upstreams.begin(), Upstreams.end(), [Now](const auto &Entry) {
+        return Entry.second.State != UpstreamState::Unregistered &&
+               Entry.second.Responsiveness.isUnresponsive(Now);
+      });
+}
+
 size_t UpstreamRegistry::countInZone(const std::string &Zone) const {
   return std::count_if(
       Upstreams.begin(), Upstreams.end(), [&Zone](const auto &Entry) {
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -7,9 +7,11 @@
 #include <vector>
 
 #include "evacuation_table.h"
+#include "exchange_tracker.h"
 #include "packet.h"
 #include "reachability_tracker.h"
 #include "response_time_tracker.h"
+#include "responsiveness_tracker.h"
 #include "types.h"
 
 namespace indigopoint {
@@ -58,6 +60,10 @@
   ReachabilityTracker Reachability;
   /// Written by flow steering.
   ResponseTimeTracker ResponseTimes;
+  /// Written by flow steering.
+  ExchangeTracker Exchanges;
+  /// Written by flow steering.
+  ResponsivenessTracker Responsiveness;
 };
 
 /// The upstreams that registered themselves in the store, indexed by id,
@@ -145,6 +151,9 @@
   /// How many upstreams are in a state.
   size_t count(UpstreamState State) const;
 
+  /// How many registered upstreams are unresponsive.
+  size_t countUnresponsive(TimePoint Now) const;
+
   /// How many registered upstreams are in a zone.
   size_t countInZone(const std::string &Zone) const;
 
