Report unresponsive upstreams to the zone; compare data age with the usual one

Cause: evidence had no way out of its instance; a zone that reaches no upstream became not ready only maxStoreAge after the last confirmation, although a shared reader has the data confirmed about every second. Ruled out: asking the store again on suspicion, since an instance that follows the reader would wait for the reader's own watch. Change: the forwarder connects FlowSteering's evidence with PeerReporter; SyncPlanner::maxUsualAge says which age is unusual, and ReachabilityGate gets the time from which the data is outdated.

--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -111,30 +111,31 @@
       OnStop(std::move(OnStop)),
       Log({this->Settings.Name, this->Settings.LogLinesPerSecond}, TimeSource),
       Upstreams(this->Settings.Policy.Reachability),
-      Gate(this->Settings.MaxStoreAge),
-      Steering({this->Settings.Zone,
-                makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
-                                              this->Settings.Policy.Placement),
-                this->Settings.Policy.Placement, this->Settings.Policy.Checks,
-                this->Settings.PeerAddress, &Gate},
-               TimeSource, Routes, Upstreams, Metrics,
-               {[this](const FlowAddress &Flow,
-                       const Upstream &UnresponsiveUpstream) {
-                  logOpenTimeout(Flow, UnresponsiveUpstream);
-                },
-                [this](const Upstream &Suspect) { startCheck(Suspect); },
-                [this](const PacketHeader &Packet,
-                       const SteeringDecision &Decision) {
-                  sendReset(Packet);
-                  logDecision(Packet, Decision);
-                },
-                [this] {
-                  return Pauses.isOutdated(Follower.sync().confirmedAt(),
-                                           TimeSource.now());
-                },
-                [this](const std::string &Zone) {
-                  return Follower.membersOf(Zone);
-                }}),
+      Steering(
+          {this->Settings.Zone,
+           makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
+                                         this->Settings.Policy.Placement),
+           this->Settings.Policy.Placement, this->Settings.Policy.Checks,
+           this->Settings.PeerAddress, &Gate},
+          TimeSource, Routes, Upstreams, Metrics,
+          {[this](const FlowAddress &Flow,
+                  const Upstream &UnresponsiveUpstream) {
+             logOpenTimeout(Flow, UnresponsiveUpstream);
+           },
+           [this](const Upstream &Suspect) { startCheck(Suspect); },
+           [this](const PacketHeader &Packet,
+                  const SteeringDecision &Decision) {
+             sendReset(Packet);
+             logDecision(Packet, Decision);
+           },
+           [this] {
+             return Pauses.isOutdated(Follower.sync().confirmedAt(),
+                                      TimeSource.now());
+           },
+           [this](const std::string &Zone) { return Follower.membersOf(Zone); },
+           [this](const Upstream &UnresponsiveUpstream) {
+             Reports.addEvidence(UnresponsiveUpstream);
+           }}),
       UpdateApplier(this->Protocol.DecodeItem, TimeSource, Log, Routes,
                     Upstreams, registrationLifetime(this->Settings)),
       Follower(Loop, this->Settings, this->Protocol.Store, TimeSource, Log,
@@ -149,7 +150,12 @@
       Reports(Loop,
               {this->Settings.ReportAddress, this->Settings.PeerAddress,
                this->Settings.Zone},
-              TimeSource, {[this] { return Follower.recentPeersInZone(); }}),
+              TimeSource,
+              {[this] { return Follower.recentPeersInZone(); },
+               [this](const PeerReport &Report) {
+                 TimeSource.refresh();
+                 Steering.recordPeerEvidence(Report);
+               }}),
       Checks(Loop, this->Settings.Policy.Checks.UseReference,
              [this](UpstreamId Id, bool IsAccepting) {
                onCheckResult(Id, IsAccepting);
@@ -347,7 +353,8 @@
 void Forwarder::Impl::updateGate() {
   if (Drain || !Routes.isLoaded())
     return;
-  Gate.update(Upstreams.available(), Follower.sync().confirmedAt(),
+  Gate.update(Upstreams.available(),
+              Follower.sync().confirmedAt() + Follower.maxUsualAge(),
               TimeSource.now());
   const bool IsReachable = Gate.isReachable(TimeSource.now());
   if (IsReachable == WasReachable)
--- a/src/reachability_gate.cpp
+++ b/src/reachability_gate.cpp
@@ -48,12 +48,11 @@
   UnreachableUntil = std::min(UnreachableUntil, Now);
 }
 
-void ReachabilityGate::update(Available Known, TimePoint ConfirmedAt,
+void ReachabilityGate::update(Available Known, TimePoint OutdatedAt,
                               TimePoint Now) {
   std::erase_if(Unanswered, [Now](const auto &Entry) {
     return Now - Entry.second.Last > OpeningLifetime;
   });
-  const TimePoint OutdatedAt = ConfirmedAt + MaxStoreAge;
   if (Now <= OutdatedAt) {
     UnreachableUntil = std::min(UnreachableUntil, Now);
     return;
--- a/src/reachability_gate.h
+++ b/src/reachability_gate.h
@@ -12,10 +12,6 @@
 /// routers send its clients elsewhere.
 class ReachabilityGate {
 public:
-  /// \p MaxStoreAge is the time for which store data is normally unconfirmed at
-  /// most.
-  explicit ReachabilityGate(Duration MaxStoreAge) : MaxStoreAge(MaxStoreAge) {}
-
   /// Called when an opening packet is forwarded to an upstream.
   void recordOpening(const std::string &Service, UpstreamId Id, TimePoint Now);
 
@@ -31,9 +27,10 @@
     size_t Services = 0;
   };
 
-  /// Decides anew; called several times a second. \p ConfirmedAt is when the
-  /// store last confirmed the data.
-  void update(Available Known, TimePoint ConfirmedAt, TimePoint Now);
+  /// Decides anew; called several times a second. The store data is outdated
+  /// from \p OutdatedAt on, which is later than now while the store is
+  /// reachable.
+  void update(Available Known, TimePoint OutdatedAt, TimePoint Now);
 
   /// False while no upstream is reachable and routers should send the clients
   /// elsewhere.
@@ -50,7 +47,6 @@
   bool isEvidenceSufficient(Available Known, TimePoint Now) const;
   static TimePoint nextTrial(TimePoint OutdatedAt, TimePoint Now);
 
-  Duration MaxStoreAge;
   std::unordered_map<UpstreamId, Openings> Unanswered;
   /// Not after the current time while upstreams are reachable.
   TimePoint UnreachableUntil{};
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -271,6 +271,10 @@
   return Out;
 }
 
+Duration StoreFollower::maxUsualAge() const {
+  return PImpl->Planner.maxUsualAge();
+}
+
 std::vector<Endpoint> StoreFollower::membersOf(const std::string &Zone) const {
   return PImpl->Peers.membersOf(Zone);
 }
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -65,6 +65,9 @@
   /// See PeerTable::membersOf.
   std::vector<Endpoint> membersOf(const std::string &Zone) const;
 
+  /// See SyncPlanner::maxUsualAge.
+  Duration maxUsualAge() const;
+
   /// Returns how long ago the store confirmed the current data.
   Duration dataAge() const;
 
--- a/src/sync_planner.cpp
+++ b/src/sync_planner.cpp
@@ -7,12 +7,20 @@
 // Maximum time for the answer to a call without wait.
 constexpr Duration AnswerTimeout = std::chrono::milliseconds(900);
 
-} // namespace
-
 // Maximum age of the data of a peer before the store itself is asked. The rest
 // of ChangeBound is left for that call and one retry.
+Duration maxPeerDataAge(Duration ChangeBound) { return ChangeBound * 3 / 5; }
+
+} // namespace
+
 bool SyncPlanner::isDataTooOld(const StoreSync &Sync) const {
-  return TimeSource.now() - Sync.confirmedAt() > Opts.ChangeBound * 3 / 5;
+  return TimeSource.now() - Sync.confirmedAt() >
+         maxPeerDataAge(Opts.ChangeBound);
+}
+
+// A shared reader has the data confirmed several times within the bound.
+Duration SyncPlanner::maxUsualAge() const {
+  return hasSharedReader() ? maxPeerDataAge(Opts.ChangeBound) : Opts.MaxAge;
 }
 
 bool SyncPlanner::hasSharedReader() const {
--- a/src/sync_planner.h
+++ b/src/sync_planner.h
@@ -31,6 +31,9 @@
   /// Returns the target of the call that is due.
   SyncSource next(const StoreSync &Sync);
 
+  /// The age that the data does not exceed while the store is reachable.
+  Duration maxUsualAge() const;
+
 private:
   SyncSource choose(const StoreSync &Sync);
   SyncSource chooseWhileStoreFails(bool FollowsReader);
--- a/tests/reachability_gate_test.cpp
+++ b/tests/reachability_gate_test.cpp
@@ -35,7 +35,7 @@
          TimeSource.advance(Step)) {
       if (IsStoreUp)
         ConfirmedAt = TimeSource.Now;
-      Gate.update(Known, ConfirmedAt, TimeSource.Now);
+      Gate.update(Known, ConfirmedAt + MaxStoreAge, TimeSource.Now);
       if (!Gate.isReachable(TimeSource.Now)) {
         Unreachable += Step;
         continue;
@@ -51,7 +51,7 @@
   }
 
   ManualClock TimeSource;
-  ReachabilityGate Gate{MaxStoreAge};
+  ReachabilityGate Gate;
   ReachabilityGate::Available Known{6, 2};
   TimePoint ConfirmedAt = TimeSource.Now;
   bool IsStoreUp = true;
@@ -215,7 +215,7 @@
 TEST_F(ReachabilityGateTest, InstancesOfAZoneTryAtTheSameTime) {
   IsStoreUp = false;
   Answers = never;
-  ReachabilityGate Second{MaxStoreAge};
+  ReachabilityGate Second;
   run(seconds(7));
   ASSERT_FALSE(Gate.isReachable(TimeSource.Now));
   TimePoint SecondTrial{};
@@ -224,7 +224,7 @@
     for (const uint64_t Id : Targets)
       Second.recordOpening(serviceOf(Id), UpstreamId(Id), TimeSource.Now);
     const bool WasReachable = Second.isReachable(TimeSource.Now - Step);
-    Second.update(Known, ConfirmedAt, TimeSource.Now);
+    Second.update(Known, ConfirmedAt + MaxStoreAge, TimeSource.Now);
     if (!WasReachable && Second.isReachable(TimeSource.Now) &&
         SecondTrial == TimePoint())
       SecondTrial = TimeSource.Now;
@@ -262,11 +262,12 @@
       TimeSource.advance(milliseconds(200U << Copy));
     }
     ++Port;
-    Gate.update(Upstreams.available(), ConfirmedAt, TimeSource.now());
+    Gate.update(Upstreams.available(), ConfirmedAt + MaxStoreAge,
+                TimeSource.now());
     return Gate.isReachable(TimeSource.now());
   }
 
-  ReachabilityGate Gate{MaxStoreAge};
+  ReachabilityGate Gate;
   FlowSteering GatedSteering{
       {"a", makeZoneAwareLeastFlowsPolicy("a"), {}, {}, {}, &Gate},
       TimeSource,
