Evacuate a zone, end this and list the evacuated zones by a command

Cause: operators had to write the key of an evacuation by hand. Ruled out: sending the change again after a lost answer, since the first one may be carried out later and undo what another operator wrote meanwhile; a call to the instances, since the store's acknowledgement is the one that counts. Change: "indigopoint evacuate" writes or removes the key on the condition of the revision that it has read, and reads it again if no answer comes.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,6 +13,7 @@
 #include "command_show.h"
 #include "command_status.h"
 #include "command_version.h"
+#include "platform/command_evacuate.h"
 #include "platform/command_forward.h"
 
 namespace {
@@ -23,6 +24,8 @@
     Command{"serve", "run one instance", indigopoint::runServe},
     Command{"forward", "run one packet-forwarding instance",
             indigopoint::platform::runForward},
+    Command{"evacuate", "keep new flows away from a zone",
+            indigopoint::platform::runEvacuate},
     Command{"check", "check configuration files", indigopoint::runCheck},
     Command{"apply", "apply configuration files", indigopoint::runApply},
     Command{"show", "show a configuration", indigopoint::runShow},
