--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -183,7 +183,10 @@
   for (const auto &[Zone, StartedAt] : View.Upstreams.evacuations().zones())
     Out["evacuations"].push_back(
         {{"zone", Zone}, {"ageMs", millisecondsOf(View.Now - StartedAt)}});
-  return Out.dump(2);
+  // Zones are named by keys of the store, which may hold bytes that are not
+  // UTF-8.
+  return Out.dump(2, ' ', false,
+                  nlohmann::ordered_json::error_handler_t::replace);
 }
 
 } // namespace indigopoint
--- a/src/status_text.cpp
+++ b/src/status_text.cpp
@@ -103,12 +103,24 @@
   writeServices(Report.at("services"), Out);
 }
 
-// The report of a forwarder contains plain values and upstream counts.
+// Writes one line for each object of a list.
+void writeList(const Json &Objects, std::ostream &Out) {
+  Out << (Objects.empty() ? " none\n" : "\n");
+  for (const Json &Object : Objects) {
+    Out << " ";
+    writePairs(Object, Out);
+  }
+}
+
+// The report of a forwarder contains plain values, upstream counts and lists of
+// objects.
 void writeForwarder(const Json &Report, std::ostream &Out) {
   for (const auto &[Key, Value] : Report.items()) {
     Out << Key << ":";
     if (Value.is_object())
       writePairs(Value, Out);
+    else if (Value.is_array())
+      writeList(Value, Out);
     else
       Out << " "
           << (Value.is_string() ? Value.get<std::string>() : Value.dump())
