Place new flows by remaining work if the settings ask for it

Cause: with the fewest open flows, a new flow can queue behind a long request although a neighbour with more, idle flows is free. Change: placement.countRemainingWork, off by default, compares upstreams by this instance's remaining work plus the cost of the flow, per slot, before the number of flows. Reports of peers decide only between the two upstreams that the hash of the flow prefers among equals. Routes without enough samples keep the order by flows. FlowSteering keeps the open exchanges only with the option. No existing test was changed.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -1,6 +1,7 @@
 #include "flow_steering.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace indigopoint {
 
@@ -32,6 +33,7 @@
 void FlowSteering::onOpenTimeout(const FlowAddress &Address,
                                  SteeredFlow &Flow) {
   clearPendingOpening(Flow);
+  endExchange(Flow);
   Upstream *Target = Upstreams.find(Flow.Upstream);
   if (Target == nullptr)
     return;
@@ -143,7 +145,8 @@
                                                  UpstreamId UpstreamToAvoid) {
   const TimePoint Now = TimeSource.now();
   const RouteShare *Share = RouteTable::chooseShare(MatchedRoute, Packet.Flow);
-  const NewFlow FlowToOpen{Packet.Flow, UpstreamToAvoid, Packet.AckNumber};
+  const NewFlow FlowToOpen{Packet.Flow, UpstreamToAvoid, Packet.AckNumber,
+                           &Work};
   Upstream *Target =
       Share == nullptr ? nullptr : choose(Share->Service, FlowToOpen);
   if (Target == nullptr) {
@@ -161,6 +164,8 @@
     Flow = Flows.add(Packet.Flow);
   if (Flow != nullptr) {
     assign(*Flow, Target->Registration.Id);
+    // A client opens a flow in order to send a request.
+    startExchange(*Flow, Packet.Flow.ServiceAddress, *Target);
     Flow->InitialSequence = Packet.Sequence;
     Flow->NextSequence = Packet.Sequence + 1;
     Flow->OpenedAt = Flow->LastSeen = Now;
@@ -340,8 +345,10 @@
   if (HasNewData) {
     Flow.NextSequence = DataEnd;
     Flow.LastNewDataAt = Now;
-    if (!Flow.RequestSentAt)
+    if (!Flow.RequestSentAt) {
       Flow.RequestSentAt = Now;
+      startExchange(Flow, Packet.Flow.ServiceAddress, Target);
+    }
   }
   if (IsRetransmission) {
     if (!Flow.HasRetransmitted)
@@ -361,8 +368,14 @@
 void FlowSteering::recordAnswer(const PacketHeader &Packet, SteeredFlow &Flow,
                                 Upstream &Target) {
   const TimePoint Now = TimeSource.now();
-  if (Flow.RequestSentAt && !Flow.HasRetransmitted)
+  if (Flow.RequestSentAt && !Flow.HasRetransmitted) {
     Target.ResponseTimes.record(Now - *Flow.RequestSentAt, Now);
+    if (Opts.Placement.CountRemainingWork)
+      Costs.record(Packet.Flow.ServiceAddress, Now - *Flow.RequestSentAt, Now);
+  }
+  // The answer to the opening precedes the first request.
+  if (Flow.RequestSentAt)
+    endExchange(Flow);
   Flow.RequestSentAt.reset();
   Flow.HighestAck = Packet.AckNumber;
   Flow.HasRetransmitted = false;
@@ -395,8 +408,24 @@
     Target->Reachability.recordOpeningEnd();
 }
 
+void FlowSteering::startExchange(SteeredFlow &Flow, Endpoint RouteAddress,
+                                 const Upstream &Target) {
+  if (!Opts.Placement.CountRemainingWork)
+    return;
+  endExchange(Flow);
+  Flow.Exchange =
+      Work.start({Target.Registration.Id, Target.Registration.StartedAtMs},
+                 RouteAddress, TimeSource.now());
+}
+
+void FlowSteering::endExchange(SteeredFlow &Flow) {
+  if (Flow.Exchange != 0)
+    Work.end(Flow.Upstream, std::exchange(Flow.Exchange, 0));
+}
+
 void FlowSteering::uncountFlow(SteeredFlow &Flow) {
   clearPendingOpening(Flow);
+  endExchange(Flow);
   if (Flow.CurrentPhase == SteeredFlow::Phase::Closing)
     return;
   if (Upstream *OldUpstream = Upstreams.find(Flow.Upstream);
@@ -422,6 +451,7 @@
   constexpr Duration FlowLifetime = std::chrono::minutes(2);
   Upstreams.expire(Now, FlowLifetime);
   Warmups.expire(Now);
+  Work.expire(Now);
   std::erase_if(RetransmittingFlows, [this](const auto &Entry) {
     const SteeredFlow *Flow = Flows.find(Entry.second);
     return Flow == nullptr || !Flow->HasRetransmitted ||
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -122,6 +122,11 @@
   /// openings.
   void uncountFlow(SteeredFlow &Flow);
   void assign(SteeredFlow &Flow, UpstreamId NewId);
+  /// Counts a request of the flow as work of its upstream until endExchange()
+  /// or the flow's next request.
+  void startExchange(SteeredFlow &Flow, Endpoint RouteAddress,
+                     const Upstream &Target);
+  void endExchange(SteeredFlow &Flow);
 
   Options Opts;
   const Clock &TimeSource;
@@ -130,6 +135,8 @@
   SteeringMetrics &Metrics;
   Hooks FlowHooks;
   WarmupLimiter Warmups;
+  CostModel Costs;
+  RemainingWork Work{Costs};
   SteeredFlowTable Flows;
   /// The flow that each client opened last, by the client's address.
   std::unordered_map<uint32_t, FlowAddress> LastFlowByClient;
--- a/src/policy_options.h
+++ b/src/policy_options.h
@@ -32,6 +32,9 @@
   /// Send a new flow to another upstream than the client's previous flow if
   /// that one was probably refused.
   bool AvoidRefusedUpstream = true;
+  /// Prefer the least remaining work of open exchanges per slot to the fewest
+  /// open flows. Off, because it reduces the p99 of response times too little.
+  bool CountRemainingWork = false;
   bool operator==(const PlacementOptions &) const = default;
 };
 
--- a/src/policy_settings.cpp
+++ b/src/policy_settings.cpp
@@ -29,6 +29,7 @@
   Reader.boolean("preferAnsweringUpstreams", Out.PreferAnsweringUpstreams);
   Reader.wholeNumber("maxOpeningsInZone", Out.MaxOpeningsInZone, MaxOpenings);
   Reader.boolean("avoidRefusedUpstream", Out.AvoidRefusedUpstream);
+  Reader.boolean("countRemainingWork", Out.CountRemainingWork);
 }
 
 void readReachability(SettingsReader &Reader, ReachabilityOptions &Out) {
--- a/src/steered_flow_table.h
+++ b/src/steered_flow_table.h
@@ -41,6 +41,8 @@
   /// When the first data after the last answer was seen; unset if the flow
   /// waits for no answer.
   std::optional<TimePoint> RequestSentAt;
+  /// The open exchange of the flow in RemainingWork; 0 if there is none.
+  uint64_t Exchange = 0;
   /// When data was last seen that the client had not sent before.
   TimePoint LastNewDataAt{};
 };
