--- a/src/balancing_policy.cpp
+++ b/src/balancing_policy.cpp
@@ -22,8 +22,8 @@
   return Target.Registration.Slots * (Target.WarmupEnd > Now ? WarmupShare : 1);
 }
 
-// The median of the upstreams' average response times; nothing if none is
-// known.
+} // namespace
+
 std::optional<Duration>
 medianResponseTime(const std::vector<Upstream *> &Candidates, TimePoint Now) {
   std::vector<Duration> Averages;
@@ -38,8 +38,6 @@
   return *Middle;
 }
 
-// How many times as long as usual the upstream takes for an answer; 1 if that
-// is not known.
 double slowdownOf(const Upstream &Target, std::optional<Duration> Usual,
                   TimePoint Now) {
   const auto Average = Target.ResponseTimes.recentAverage(Now);
@@ -50,6 +48,8 @@
   return Ratio < MinSlowdown ? 1 : Ratio;
 }
 
+namespace {
+
 bool hasAnsweredRecently(const Upstream &Target, TimePoint Now) {
   return Now - Target.Reachability.lastAnswer() <= RecentAnswerWindow;
 }
--- a/src/balancing_policy.h
+++ b/src/balancing_policy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,16 @@
 double flowsPerSlot(const Upstream &Target, TimePoint Now,
                     double WarmupShare = PlacementOptions().WarmupShare);
 
+/// The median of the upstreams' average response times; nothing if none is
+/// known.
+std::optional<Duration>
+medianResponseTime(const std::vector<Upstream *> &Candidates, TimePoint Now);
+
+/// How many times as long as \p Usual the upstream takes for an answer; 1 if
+/// that is not known.
+double slowdownOf(const Upstream &Target, std::optional<Duration> Usual,
+                  TimePoint Now);
+
 /// Returns a policy that prefers upstreams that are not suspect, then
 /// those in \p Zone to those in other zones, then the fewest flows per slot.
 /// Because of the zone preference, a network partition between zones affects
