--- a/src/policy_options.h
+++ b/src/policy_options.h
@@ -81,6 +81,14 @@
   bool operator==(const StoreSharingOptions &) const = default;
 };
 
+/// Whether less urgent flows are refused while the demand of a service exceeds
+/// its capacity.
+struct AdmissionOptions {
+  /// Takes effect only for routes with a priority.
+  bool Enabled = true;
+  bool operator==(const AdmissionOptions &) const = default;
+};
+
 /// The rules by which a forwarder decides, each of which can be changed or
 /// switched off in the settings to measure its effect.
 struct PolicyOptions {
@@ -88,6 +96,7 @@
   ReachabilityOptions Reachability;
   CheckOptions Checks;
   StoreSharingOptions StoreSharing;
+  AdmissionOptions Admission;
   bool operator==(const PolicyOptions &) const = default;
 };
 
--- a/src/policy_settings.cpp
+++ b/src/policy_settings.cpp
@@ -55,6 +55,10 @@
                 MaxDelayAfterChangeShare);
 }
 
+void readAdmission(SettingsReader &Reader, AdmissionOptions &Out) {
+  Reader.boolean("enabled", Out.Enabled);
+}
+
 } // namespace
 
 void readPolicyOptions(SettingsReader &Reader, PolicyOptions &Out) {
@@ -71,6 +75,9 @@
     Policy.object("storeSharing", [&Out](SettingsReader &Members) {
       readStoreSharing(Members, Out.StoreSharing);
     });
+    Policy.object("admission", [&Out](SettingsReader &Members) {
+      readAdmission(Members, Out.Admission);
+    });
   });
 }
 
--- a/tests/forwarder_settings_test.cpp
+++ b/tests/forwarder_settings_test.cpp
@@ -56,7 +56,8 @@
                                  "maxOpeningsInZone": 0},
                    "reachability": {"maxBackoffMs": 500},
                    "checks": {"useReference": false},
-                   "storeSharing": {"delayAfterChangeShare": 0.1}}})",
+                   "storeSharing": {"delayAfterChangeShare": 0.1},
+                   "admission": {"enabled": false}}})",
                                              "s.json", Settings);
   ASSERT_TRUE(Errors.empty()) << toString(Errors[0]);
   PolicyOptions Expected;
@@ -66,6 +67,7 @@
   Expected.Reachability.MaxBackoff = std::chrono::milliseconds(500);
   Expected.Checks.UseReference = false;
   Expected.StoreSharing.DelayAfterChangeShare = 0.1;
+  Expected.Admission.Enabled = false;
   EXPECT_EQ(Settings.Policy, Expected);
 }
 
