Refuse first openings of less urgent routes under overload

Cause: AdmissionPolicy was not used by flow steering. Ruled out: refusing retransmitted openings, whose flows may be open through another instance; dropping instead of resetting, of which the client learns after 1.4 s only. Change: FlowAdmission counts openings and open exchanges, and steerOpening resets the first opening of a new flow with the reason overloaded. The log line shows the inputs; metrics show demand, capacity and refusals by priority. Routes without Priority are steered as before.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -24,7 +24,7 @@
       TimeSource.now(), [this](const FlowAddress &Address, SteeredFlow &Flow) {
         onOpenTimeout(Address, Flow);
       });
-  const SteeringDecision Decision = decide(Packet);
+  SteeringDecision Decision = decide(Packet);
   Metrics.countDecision(Decision);
   return Decision;
 }
@@ -107,9 +107,15 @@
     Flows.erase(Packet.Flow);
     Flow = nullptr;
   }
-  if (Flow == nullptr)
+  if (Flow == nullptr) {
+    // A retransmitted opening may be open through another instance.
+    if (!IsRetransmission)
+      if (auto Inputs = Admission.refusalOf(*MatchedRoute, Packet.Flow))
+        return {SteeringAction::Reset, SteeringReason::Overloaded, nullptr,
+                std::move(Inputs)};
     return assignNewUpstream(Packet, *MatchedRoute, nullptr,
                              checkPreviousOpening(Packet.Flow));
+  }
   Upstream *CurrentUpstream = Upstreams.find(Flow->Upstream);
   Flow->LastSeen = TimeSource.now();
   // A delayed first copy must not reach an upstream that takes no new flows any
@@ -340,8 +346,13 @@
   if (HasNewData) {
     Flow.NextSequence = DataEnd;
     Flow.LastNewDataAt = Now;
-    if (!Flow.RequestSentAt)
+    if (!Flow.RequestSentAt) {
       Flow.RequestSentAt = Now;
+      const Route *MatchedRoute = Routes.find(Packet.Flow.ServiceAddress);
+      Admission.startExchange(
+          Packet.Flow, Flow, Target.Registration.Service,
+          MatchedRoute == nullptr ? Duration() : MatchedRoute->TimeLimit);
+    }
   }
   if (IsRetransmission) {
     if (!Flow.HasRetransmitted)
@@ -363,6 +374,7 @@
   const TimePoint Now = TimeSource.now();
   if (Flow.RequestSentAt && !Flow.HasRetransmitted)
     Target.ResponseTimes.record(Now - *Flow.RequestSentAt, Now);
+  Admission.recordAnswer(Flow, Target.Registration.Service);
   Flow.RequestSentAt.reset();
   Flow.HighestAck = Packet.AckNumber;
   Flow.HasRetransmitted = false;
@@ -397,10 +409,12 @@
 
 void FlowSteering::uncountFlow(SteeredFlow &Flow) {
   clearPendingOpening(Flow);
+  Upstream *OldUpstream = Upstreams.find(Flow.Upstream);
+  if (OldUpstream != nullptr)
+    Admission.endExchange(Flow, OldUpstream->Registration.Service);
   if (Flow.CurrentPhase == SteeredFlow::Phase::Closing)
     return;
-  if (Upstream *OldUpstream = Upstreams.find(Flow.Upstream);
-      OldUpstream && OldUpstream->OpenFlows > 0)
+  if (OldUpstream != nullptr && OldUpstream->OpenFlows > 0)
     --OldUpstream->OpenFlows;
 }
 
@@ -421,6 +435,8 @@
   // An upper limit on the lifetime of any flow.
   constexpr Duration FlowLifetime = std::chrono::minutes(2);
   Upstreams.expire(Now, FlowLifetime);
+  Admission.sweep(
+      [this](const FlowAddress &Address) { return Flows.find(Address); });
   Warmups.expire(Now);
   std::erase_if(RetransmittingFlows, [this](const auto &Entry) {
     const SteeredFlow *Flow = Flows.find(Entry.second);
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -7,6 +7,7 @@
 
 #include "balancing_policy.h"
 #include "clock.h"
+#include "flow_admission.h"
 #include "packet.h"
 #include "route_table.h"
 #include "steered_flow_table.h"
@@ -28,6 +29,7 @@
     CheckOptions Checks = {};
     /// The address that identifies this instance among InstancesOfZone.
     Endpoint Self = {};
+    AdmissionOptions Admission = {};
   };
 
   struct Hooks {
@@ -42,6 +44,9 @@
     /// Returns whether what is known of the store may be out of date after a
     /// pause of the process. Opening packets are then dropped.
     std::function<bool()> IsOutdated = [] { return false; };
+    /// Returns the time of day, by which all instances change the clients that
+    /// they refuse under overload.
+    FlowAdmission::WallTimeHook WallTime = {};
     /// Returns the instances that share the limits of upstreams in a zone (see
     /// WarmupLimiter).
     WarmupLimiter::InstancesHook InstancesOfZone = [](const std::string &) {
@@ -54,7 +59,9 @@
                Hooks FlowHooks)
       : Opts(std::move(Opts)), TimeSource(TimeSource), Routes(Routes),
         Upstreams(Upstreams), Metrics(Metrics), FlowHooks(std::move(FlowHooks)),
-        Warmups(this->Opts.Self, this->FlowHooks.InstancesOfZone) {}
+        Warmups(this->Opts.Self, this->FlowHooks.InstancesOfZone),
+        Admission({this->Opts.Zone, this->Opts.Admission, this->Opts.Placement},
+                  TimeSource, Upstreams, Metrics, this->FlowHooks.WallTime) {}
 
   SteeringDecision steer(const PacketHeader &Packet);
 
@@ -68,6 +75,9 @@
   /// The number of flows in the table.
   size_t flows() const { return Flows.size(); }
 
+  /// The loads to report to other instances, and those that they reported.
+  ServiceLoadTable &loads() { return Admission.loads(); }
+
 private:
   SteeringDecision decide(const PacketHeader &Packet);
   void onOpenTimeout(const FlowAddress &Address, SteeredFlow &Flow);
@@ -130,6 +140,7 @@
   SteeringMetrics &Metrics;
   Hooks FlowHooks;
   WarmupLimiter Warmups;
+  FlowAdmission Admission;
   SteeredFlowTable Flows;
   /// The flow that each client opened last, by the client's address.
   std::unordered_map<uint32_t, FlowAddress> LastFlowByClient;
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -107,7 +107,7 @@
                 makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
                                               this->Settings.Policy.Placement),
                 this->Settings.Policy.Placement, this->Settings.Policy.Checks,
-                this->Settings.PeerAddress},
+                this->Settings.PeerAddress, this->Settings.Policy.Admission},
                TimeSource, Routes, Upstreams, Metrics,
                {[this](const FlowAddress &Flow,
                        const Upstream &UnresponsiveUpstream) {
@@ -123,6 +123,7 @@
                   return Pauses.isOutdated(Follower.sync().confirmedAt(),
                                            TimeSource.now());
                 },
+                [] { return std::chrono::system_clock::now(); },
                 [this](const std::string &Zone) {
                   return Follower.membersOf(Zone);
                 }}),
