--- a/src/balancing_policy.cpp
+++ b/src/balancing_policy.cpp
@@ -26,8 +26,8 @@
   return Target.Registration.Slots * (Target.WarmupEnd > Now ? WarmupShare : 1);
 }
 
-// How many times as long as usual the upstream takes for an answer; 1 if that
-// is not known.
+} // namespace
+
 double slowdownOf(const Upstream &Target, std::optional<Duration> Usual,
                   TimePoint Now) {
   const auto Average = Target.ResponseTimes.recentAverage(Now);
@@ -38,6 +38,8 @@
   return Ratio < MinSlowdown ? 1 : Ratio;
 }
 
+namespace {
+
 bool hasAnsweredRecently(const Upstream &Target, TimePoint Now) {
   return Now - Target.Reachability.lastAnswer() <= RecentAnswerWindow;
 }
--- a/src/balancing_policy.h
+++ b/src/balancing_policy.h
@@ -42,6 +42,11 @@
 std::optional<Duration>
 medianResponseTime(const std::vector<Upstream *> &Candidates, TimePoint Now);
 
+/// How many times as long as \p Usual the upstream takes for an answer; 1 if
+/// that is not known.
+double slowdownOf(const Upstream &Target, std::optional<Duration> Usual,
+                  TimePoint Now);
+
 /// Returns a policy that prefers upstreams that are not suspect, then
 /// responsive ones, then those in \p Zone to those in other zones, then the
 /// fewest flows per slot. Because of the zone preference, a network partition
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -26,7 +26,7 @@
         onOpenTimeout(Address, Flow);
       });
   Exchanges.reportOverdue(TimeSource.now());
-  const SteeringDecision Decision = decide(Packet);
+  SteeringDecision Decision = decide(Packet);
   Metrics.countDecision(Decision);
   return Decision;
 }
@@ -111,9 +111,15 @@
     Flows.erase(Packet.Flow);
     Flow = nullptr;
   }
-  if (Flow == nullptr)
+  if (Flow == nullptr) {
+    // A retransmitted opening may be open through another instance.
+    if (!IsRetransmission)
+      if (auto Inputs = Admission.refusalOf(*MatchedRoute, Packet.Flow))
+        return {SteeringAction::Reset, SteeringReason::Overloaded, nullptr,
+                std::move(Inputs)};
     return assignNewUpstream(Packet, *MatchedRoute, nullptr,
                              checkPreviousOpening(Packet.Flow));
+  }
   Upstream *CurrentUpstream = Upstreams.find(Flow->Upstream);
   Flow->LastSeen = TimeSource.now();
   // A delayed first copy must not reach an upstream that takes no new flows any
@@ -359,6 +365,10 @@
       Flow.RequestSentAt = Now;
       Exchanges.recordRequest(Packet.Flow, Flow, Target);
       startExchange(Flow, Packet.Flow.ServiceAddress, Target);
+      const Route *MatchedRoute = Routes.find(Packet.Flow.ServiceAddress);
+      Admission.startExchange(
+          Packet.Flow, Flow, Target.Registration.Service,
+          MatchedRoute == nullptr ? Duration() : MatchedRoute->TimeLimit);
     }
   }
   if (IsRetransmission) {
@@ -390,6 +400,7 @@
   if (Flow.RequestSentAt)
     endExchange(Flow);
   ExchangeMonitor::recordAnswer(Flow, Target, Now);
+  Admission.recordAnswer(Flow, Target.Registration.Service);
   Flow.RequestSentAt.reset();
   Flow.HighestAck = Packet.AckNumber;
   Flow.HasRetransmitted = false;
@@ -443,10 +454,12 @@
   clearPendingOpening(Flow);
   Exchanges.end(Flow);
   endExchange(Flow);
+  Upstream *OldUpstream = Upstreams.find(Flow.Upstream);
+  if (OldUpstream != nullptr)
+    Admission.endExchange(Flow, OldUpstream->Registration.Service);
   if (Flow.CurrentPhase == SteeredFlow::Phase::Closing)
     return;
-  if (Upstream *OldUpstream = Upstreams.find(Flow.Upstream);
-      OldUpstream && OldUpstream->OpenFlows > 0)
+  if (OldUpstream != nullptr && OldUpstream->OpenFlows > 0)
     --OldUpstream->OpenFlows;
 }
 
@@ -469,6 +482,8 @@
   Exchanges.reportOverdue(Now);
   Exchanges.expire(Now);
   Upstreams.expire(Now, FlowLifetime);
+  Admission.sweep(
+      [this](const FlowAddress &Address) { return Flows.find(Address); });
   Warmups.expire(Now);
   Work.expire(Now);
   std::erase_if(RetransmittingFlows, [this](const auto &Entry) {
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -8,6 +8,7 @@
 #include "balancing_policy.h"
 #include "clock.h"
 #include "exchange_monitor.h"
+#include "flow_admission.h"
 #include "packet.h"
 #include "reachability_gate.h"
 #include "route_table.h"
@@ -32,6 +33,7 @@
     Endpoint Self = {};
     /// Gets the openings and answers; may be null.
     ReachabilityGate *Gate = nullptr;
+    AdmissionOptions Admission = {};
   };
 
   struct Hooks {
@@ -46,6 +48,9 @@
     /// Returns whether what is known of the store may be out of date after a
     /// pause of the process. Opening packets are then dropped.
     std::function<bool()> IsOutdated = [] { return false; };
+    /// Returns the time of day, by which all instances change the clients that
+    /// they refuse under overload.
+    FlowAdmission::WallTimeHook WallTime = {};
     /// Returns the instances that share the limits of upstreams in a zone (see
     /// WarmupLimiter).
     WarmupLimiter::InstancesHook InstancesOfZone = [](const std::string &) {
@@ -67,6 +72,8 @@
       : Opts(std::move(Opts)), TimeSource(TimeSource), Routes(Routes),
         Upstreams(Upstreams), Metrics(Metrics), FlowHooks(std::move(FlowHooks)),
         Warmups(this->Opts.Self, this->FlowHooks.InstancesOfZone),
+        Admission({this->Opts.Zone, this->Opts.Admission, this->Opts.Placement},
+                  TimeSource, Upstreams, Metrics, this->FlowHooks.WallTime),
         Exchanges(this->Opts.Zone, this->Opts.Self, Routes, Upstreams, Flows,
                   {this->FlowHooks.OnUnresponsive,
                    this->FlowHooks.OnReportedUnresponsive,
@@ -89,6 +96,9 @@
   /// The number of flows in the table.
   size_t flows() const { return Flows.size(); }
 
+  /// The loads to report to other instances, and those that they reported.
+  ServiceLoadTable &loads() { return Admission.loads(); }
+
 private:
   SteeringDecision decide(const PacketHeader &Packet);
   void onOpenTimeout(const FlowAddress &Address, SteeredFlow &Flow);
@@ -158,6 +168,7 @@
   WarmupLimiter Warmups;
   CostModel Costs;
   RemainingWork Work{Costs};
+  FlowAdmission Admission;
   SteeredFlowTable Flows;
   ExchangeMonitor Exchanges;
   /// The flow that each client opened last, by the client's address.
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -116,7 +116,7 @@
            makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
                                          this->Settings.Policy.Placement),
            this->Settings.Policy.Placement, this->Settings.Policy.Checks,
-           this->Settings.PeerAddress, &Gate},
+           this->Settings.PeerAddress, &Gate, this->Settings.Policy.Admission},
           TimeSource, Routes, Upstreams, Metrics,
           {[this](const FlowAddress &Flow,
                   const Upstream &UnresponsiveUpstream) {
@@ -132,6 +132,7 @@
              return Pauses.isOutdated(Follower.sync().confirmedAt(),
                                       TimeSource.now());
            },
+           [] { return std::chrono::system_clock::now(); },
            [this](const std::string &Zone) { return Follower.membersOf(Zone); },
            [this](const Upstream &UnresponsiveUpstream) {
              Reports.addEvidence(UnresponsiveUpstream);
@@ -155,7 +156,9 @@
                [this](const PeerReport &Report) {
                  TimeSource.refresh();
                  Steering.recordPeerEvidence(Report);
-               }}),
+                 Steering.loads().recordPeerReport(Report);
+               },
+               [this] { return Steering.loads().ownLoads(); }}),
       Checks(Loop, this->Settings.Policy.Checks.UseReference,
              [this](UpstreamId Id, bool IsAccepting) {
                onCheckResult(Id, IsAccepting);
