Play evacuations, cold returns and other writers in the soak

Cause: the oracle knew neither evacuations nor cold upstreams, and no fault wrote entries of another writer or restarted an upstream while its zone is cut off. A last evacuation now begins when all faults have ended. Change: faults for these; the oracle checks new flows of an evacuated zone from 5 s on, also in an outage once an instance must have known it, and the openings of cold upstreams in any second. The stand-in store takes transactions and filters by prefix.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,8 @@
 import time
 
 from fault_proxy import Mode
-from flow_platform import CONFIGURATION_KEY, configuration
+from flow_platform import (COLD_PER_S, CONFIGURATION_KEY, configuration, evacuation_key,
+                           foreign_entries)
 from oracle import Version
 
 PAUSE_S = (0.05, 4)
@@ -22,6 +23,8 @@
 REWRITE_S = (0.1, 2)
 # A restored store removes the registrations of upstreams that have left.
 EXPIRY_S = 3.6
+# Longer than the time after which an evacuation must be in force.
+EVACUATION_S = (8, 16)
 
 
 class Faults:
@@ -35,8 +38,10 @@
         self.counts = {}
         self.kinds = [self.pause, self.kill, self.stop, self.store_link, self.silence_connections,
                       self.turn_away, self.reload, self.broken_settings, self.outage, self.slow,
-                      self.forget, self.restore_copy, self.lapse, self.drain, self.crash, self.silence_upstream,
-                      self.toggle_route, self.toggle_route, self.burst_of_changes]
+                      self.forget, self.restore_copy, self.lapse, self.drain, self.crash,
+                      self.silence_upstream, self.toggle_route, self.toggle_route,
+                      self.burst_of_changes, self.evacuate, self.evacuate, self.foreign_entry,
+                      self.restart_in_cut]
 
     def step(self):
         """Starts one random fault, or none if the chosen one is not possible now."""
@@ -206,6 +211,7 @@
 
         def come_back():
             store.outage_status = None
+            self.oracle.record_lost_state()
             store.restore(self.duration(COPY_AGE_S))
             for key in store.lost_keys():
                 self.disturb("store", self.duration(REWRITE_S), lambda key=key: rewrite(key))
@@ -269,14 +275,30 @@
             self.later(1, lambda: self.system.store.remove(upstream.key))
 
         def start():
-            upstream.start()
-            upstream.start_count += 1
-            self.system.register(upstream)
+            self.system.restart_cold(upstream)
             self.release(upstream)
 
         self.disturb(upstream.key, self.duration((1.5, 5)), start)
         return True
 
+    def restart_in_cut(self):
+        """An upstream starts again under its id while its zone is cut off from the store."""
+        upstream = self.reserve(self.system.faultable_upstreams())
+        if upstream is None:
+            return False
+        for instance in self.system.instances:
+            instance.proxy.set(Mode.SILENT)
+            self.disturb(instance.name, 3, lambda instance=instance: instance.proxy.set(Mode.PASS))
+        upstream.crash()
+        self.oracle.record_lost_flows(upstream.identity)
+
+        def start():
+            self.system.restart_cold(upstream)
+            self.release(upstream)
+
+        self.disturb(upstream.key, 1, start)
+        return True
+
     def silence_upstream(self):
         upstream = self.reserve(self.system.faultable_upstreams())
         if upstream is None:
@@ -290,6 +312,30 @@
         self.disturb(upstream.key, self.duration(FAULT_S), end_silence)
         return True
 
+    # Operators and other writers.
+
+    def evacuate(self):
+        zone, store = self.system.evacuated_zone, self.system.store
+        if zone in self.oracle.evacuated:
+            return False
+        if self.system.defect != "unwritten-evacuation":
+            store.put(evacuation_key(zone), {})
+        self.oracle.record_evacuation(zone, time.monotonic())
+
+        def end():
+            self.oracle.record_end_of_evacuation(zone)
+            store.remove(evacuation_key(zone))
+
+        self.later(self.duration(EVACUATION_S), end)
+        return True
+
+    def foreign_entry(self):
+        """Another writer puts an entry that names no usable upstream among the registrations."""
+        foreign = self.system.foreign
+        self.system.store.put(foreign.key, self.random.choice(foreign_entries(foreign.address)))
+        self.later(self.duration(FAULT_S), lambda: self.system.store.remove(foreign.key))
+        return True
+
     # The configuration.
 
     def toggle_route(self):
@@ -312,5 +358,5 @@
         self.number += 1
         version = Version(self.number, dict(routes), time.monotonic(), math.inf)
         self.oracle.record_version(version)
-        self.store.put(CONFIGURATION_KEY, configuration(self.number, routes))
+        self.store.put(CONFIGURATION_KEY, configuration(self.number, routes, COLD_PER_S))
         version.acknowledged = time.monotonic()
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -15,6 +15,12 @@
     stable: float = 2.0
     configuration: float = 2.0
     drain: float = 2.0
+    evacuation: float = 5.0
+    # A cold upstream gets at most `cold_per_s` x `cold_overshoot` + `cold_slack` openings in
+    # any second.
+    cold_per_s: float = 1.0
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
     # A loaded machine may delay a packet or a thread of the oracle for this long.
     slack: float = 0.5
 
@@ -54,6 +60,13 @@
         self.disturbances = Disturbances()
         # The service of each upstream, and when the store acknowledged its drain.
         self.services, self.draining = {}, {}
+        # The zone of each upstream, and when the store acknowledged a zone's evacuation.
+        self.zones, self.evacuated = {}, {}
+        # The instances that must know an evacuation, and since when.
+        self.informed = {}
+        # When a cold upstream was registered and until when it is cold, and the openings
+        # that it got in the last second.
+        self.cold, self.cold_openings = {}, {}
         # Keys of the packets that clients sent, see packet_key().
         self.sent_packets = set()
         # The upstream that got the last packet of the handshake, by client address.
@@ -69,12 +82,32 @@
     def record_version(self, version):
         self.versions.append(version)
 
-    def record_upstream(self, upstream, service):
-        self.services[upstream] = service
+    def record_upstream(self, upstream, service, zone="zone-a"):
+        self.services[upstream], self.zones[upstream] = service, zone
         self.draining.pop(upstream, None)
+        self.cold.pop(upstream, None)
 
     def record_drain(self, upstream, acknowledged):
         self.draining.setdefault(upstream, acknowledged)
+        self.cold.pop(upstream, None)
+
+    def record_cold(self, upstream, acknowledged, seconds):
+        self.cold[upstream] = (acknowledged, acknowledged + seconds)
+        self.cold_openings[upstream] = []
+
+    def record_evacuation(self, zone, acknowledged):
+        self.evacuated[zone] = acknowledged
+
+    def record_end_of_evacuation(self, zone):
+        """To be called before the end is written to the store."""
+        self.evacuated.pop(zone, None)
+        self.informed.clear()
+
+    def record_lost_state(self, instance=None):
+        """An instance starts again, or all may forget an evacuation since the store was
+        restored from an older copy."""
+        for name in list(self.informed) if instance is None else [instance]:
+            self.informed.pop(name, None)
 
     def record_lost_flows(self, upstream):
         for flow in [flow for flow, upstream_id in self.upstreams_by_flow.items()
@@ -130,6 +163,35 @@
             self.record_violation(now, "late drain: %s opened a flow at %x %.1f s after the store "
                                        "acknowledged the drain" % (
                 instance, upstream, sent - since))
+        self.check_evacuation(upstream, instance, sent, now)
+        self.check_cold(upstream, instance, sent, now)
+
+    def check_evacuation(self, upstream, instance, sent, now):
+        """An instance that was connected once knows the evacuation from then on, also
+        during an outage of the store."""
+        limit = self.bounds.evacuation + self.bounds.slack
+        for since in self.evacuated.values():
+            if sent - since > limit and self.is_connected(instance, sent):
+                self.informed.setdefault(instance, sent)
+        zone = self.zones[upstream]
+        if zone in self.evacuated and sent >= self.informed.get(instance, math.inf):
+            self.record_violation(now, "evacuation: %s opened a flow at %x in %s %.1f s after "
+                                       "the store acknowledged the evacuation" % (
+                instance, upstream, zone, sent - self.evacuated[zone]))
+
+    def check_cold(self, upstream, instance, sent, now):
+        """Counts openings of all connected instances. An instance that is not connected may
+        not know yet that the upstream has started again."""
+        since, until = self.cold.get(upstream, (math.inf, -math.inf))
+        known = since + self.bounds.configuration + self.bounds.slack
+        if not known < sent or now > until or not self.is_connected(instance, sent):
+            return
+        openings = [when for when in self.cold_openings[upstream] if now - when < 1] + [now]
+        self.cold_openings[upstream] = openings
+        limit = self.bounds.cold_per_s * self.bounds.cold_overshoot + self.bounds.cold_slack
+        if len(openings) > limit:
+            self.record_violation(now, "cold: %x got %d openings in a second, the last one "
+                                       "through %s" % (upstream, len(openings), instance))
 
     def client_was_reset(self, packet, upstream_is_undisturbed, now):
         """Checks a reset that an instance wrote itself."""
--- a/soak/oracle_test.py
+++ b/soak/oracle_test.py
@@ -96,6 +96,70 @@
         self.open(at=9)
         self.assert_nothing_seen()
 
+    def test_sees_a_new_flow_in_a_zone_that_was_evacuated_long_ago(self):
+        self.oracle.record_evacuation("zone-a", 5)
+        self.open(at=10.4)
+        self.assert_nothing_seen()
+        self.open(at=10.6)
+        self.assert_violation("evacuation")
+
+    def test_accepts_new_flows_elsewhere_while_disturbed_and_after_the_end(self):
+        self.oracle.record_evacuation("zone-a", 5)
+        self.oracle.record_upstream(CHAT_TWO, "chat", "zone-b")
+        self.oracle.disturbances.begin("instance-1")
+        self.open(upstream=CHAT_TWO, at=12)
+        self.open(at=12)
+        self.oracle.disturbances.end("instance-1", 13)
+        self.oracle.record_end_of_evacuation("zone-a")
+        self.open(at=16)
+        self.assert_nothing_seen()
+
+    def test_sees_an_evacuation_that_is_forgotten_in_an_outage(self):
+        self.oracle.record_evacuation("zone-a", 5)
+        self.oracle.record_upstream(CHAT_TWO, "chat", "zone-b")
+        self.open(upstream=CHAT_TWO, at=11)
+        self.oracle.disturbances.begin("store")
+        self.open(at=12)
+        self.assert_violation("evacuation")
+
+    def test_accepts_an_evacuation_that_a_new_process_does_not_know(self):
+        for instance in ("instance-1", None):
+            self.oracle.record_evacuation("zone-a", 5)
+            self.oracle.record_upstream(CHAT_TWO, "chat", "zone-b")
+            self.open(upstream=CHAT_TWO, at=11)
+            self.oracle.disturbances.begin("store")
+            self.oracle.record_lost_state(instance)
+            self.open(at=12)
+            self.oracle.disturbances.end("store", 8)
+        self.assert_nothing_seen()
+
+    def test_accepts_open_flows_of_an_evacuated_zone(self):
+        self.establish_flow()
+        self.oracle.record_evacuation("zone-a", 5)
+        self.deliver(Packet(CLIENT, ROUTE, ACKNOWLEDGE, 6, 8, data=b"second"), at=12)
+        self.assert_nothing_seen()
+
+    def open_often(self, count, interval, start=10.0):
+        for number in range(count):
+            self.open(at=start + number * interval)
+
+    def test_sees_too_many_openings_of_a_cold_upstream(self):
+        self.oracle.record_cold(CHAT, 5, 8)
+        self.open_often(6, 0.1)
+        self.assert_nothing_seen()
+        self.open(at=10.9)
+        self.assert_violation("cold")
+
+    def test_accepts_the_rate_and_openings_of_warm_upstreams(self):
+        self.oracle.record_cold(CHAT, 5, 8)
+        self.open_often(12, 0.2, start=10.0)
+        self.open_often(20, 0.01, start=13.1)
+        self.oracle.record_cold(CHAT, 20, 8)
+        self.open_often(20, 0.01, start=22)
+        self.oracle.record_upstream(CHAT, "chat")
+        self.open_often(20, 0.01, start=24)
+        self.assert_nothing_seen()
+
     def probe(self, was_forwarded, sent, oldest=0):
         self.oracle.check_probe("instance-1", 1, OTHER_ROUTE, was_forwarded, sent, oldest,
                                 sent + 0.01)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -15,9 +15,10 @@
 sys.path[:0] = [str(ROOT / "standins"), str(ROOT / "soak")]
 from fault_proxy import FaultProxy, Mode  # noqa: E402
 from faults import ConfigurationWriter, Faults  # noqa: E402
-from flow_platform import Store, Upstream, upstream_key, wait_until  # noqa: E402
+from flow_platform import (COLD_PER_S, COLD_START_S, Store, Upstream, upstream_key,  # noqa: E402
+                           wait_until)
 from forwarder_process import Instance, free_port  # noqa: E402
-from oracle import Oracle  # noqa: E402
+from oracle import Bounds, Oracle  # noqa: E402
 from traffic import Clients, Fabric  # noqa: E402
 
 CHAT, PHOTOS = ("198.18.0.1", 443), ("198.18.0.1", 8443)
@@ -28,8 +29,13 @@
 OPEN_PERIOD_S, PROBE_PERIOD_S, FAULT_PERIOD_S = 0.04, 0.3, 0.7
 RECOVERY_S = 5
 RECOVERY_FLOWS = 10
+# The upstreams of each service alternate between the zones; all instances are in the first.
+ZONES = ("zone-a", "zone-b")
+# Registrations of another writer have this id and address; no flow may get there.
+FOREIGN_ID, FOREIGN_ADDRESS = 0x4f00000001, "127.0.3.99"
 # Defects that are injected on purpose; the oracle has to report each of them.
-DEFECTS = ("wrong-address", "untold-faults", "untold-route", "no-restart")
+DEFECTS = ("wrong-address", "untold-faults", "untold-route", "no-restart",
+           "unwritten-evacuation", "unannounced-cold")
 
 
 class System:
@@ -37,7 +43,10 @@
 
     def __init__(self, program, folder, instances, seed, defect):
         self.defect = defect
-        self.oracle, self.store = Oracle(), Store()
+        self.oracle, self.store = Oracle(Bounds(cold_per_s=COLD_PER_S)), Store()
+        # An upstream of the other zone never gets faults and is never cold, so the services
+        # stay available.
+        self.evacuated_zone = random.Random(seed).choices(ZONES, (3, 1))[0]
         self.configuration_writer = ConfigurationWriter(self.store, self.oracle)
         port = free_port()
         self.routes = {CHAT: "chat", PHOTOS: "photos", PROBE_ROUTES[0]: "chat"}
@@ -46,6 +55,9 @@
         for number in range(CHAT_UPSTREAMS + PHOTO_UPSTREAMS):
             service = "chat" if number < CHAT_UPSTREAMS else "photos"
             self.add_upstream(number + 1, service, port)
+        self.foreign = Upstream(FOREIGN_ID, FOREIGN_ADDRESS, port, port)
+        self.foreign.key = upstream_key(FOREIGN_ID)
+        self.oracle.record_upstream(FOREIGN_ID, "foreign")
         if defect == "wrong-address":
             # Registers an address of another service under the id of a chat upstream.
             self.upstreams[0].address = self.upstreams[-1].address
@@ -57,12 +69,13 @@
             self.add_instance(program, folder, number, port)
         self.clients = Clients("127.0.2.1", port, Fabric(self.instances), self.oracle, seed)
         self.clients.upstream_is_undisturbed = self.upstream_is_undisturbed
-        for upstream in self.upstreams:
+        for upstream in [*self.upstreams, self.foreign]:
             upstream.on_packet = self.take_packet
 
     def add_upstream(self, number, service, port):
         upstream = Upstream(0x4000000000 + number, "127.0.3.%d" % number, port, port)
         upstream.service, upstream.start_count = service, 1
+        upstream.zone = ZONES[(number - 1) % len(ZONES)]
         upstream.key = upstream_key(upstream.identity)
         self.upstreams.append(upstream)
 
@@ -77,6 +90,7 @@
 
     def start(self, instance):
         instance.start_count += 1
+        self.oracle.record_lost_state(instance.name)
         if self.defect != "no-restart":
             instance.start()
 
@@ -90,11 +104,20 @@
         return (self.upstreams[UNTOUCHED:CHAT_UPSTREAMS]
                 + self.upstreams[CHAT_UPSTREAMS + PHOTO_UPSTREAMS - 1:])
 
-    def register(self, upstream):
+    def register(self, upstream, cold_s=0):
         # The oracle clears the drain before the store publishes the registration.
-        self.oracle.record_upstream(upstream.identity, upstream.service)
+        self.oracle.record_upstream(upstream.identity, upstream.service, upstream.zone)
         self.store.put(upstream.key, upstream.registration(
-            upstream.service, start_count=upstream.start_count))
+            upstream.service, start_count=upstream.start_count,
+            cold_s=0 if self.defect == "unannounced-cold" else cold_s))
+        if cold_s:
+            self.oracle.record_cold(upstream.identity, time.monotonic(), cold_s)
+
+    def restart_cold(self, upstream):
+        """Starts a process that crashed again under its id."""
+        upstream.start()
+        upstream.start_count += 1
+        self.register(upstream, COLD_START_S)
 
     def drain(self, upstream):
         self.store.put(upstream.key, upstream.registration(upstream.service, "draining",
@@ -182,10 +205,12 @@
         self.system.oracle.versions[-1].routes[CHAT] = "chat"
 
     def recover(self, clients):
-        """Ends all faults; after RECOVERY_S every instance has to serve flows."""
+        """Ends all faults; after RECOVERY_S every instance has to serve flows. A last
+        evacuation begins meanwhile, which all instances have to know by then."""
         while self.faults.pending:
             self.faults.run_due(everything=True)
             clients.run(0.1)
+        self.faults.evacuate()
         clients.run(RECOVERY_S)
         opened_flows = [(instance, [clients.open(CHAT, 2, instance) for _ in range(RECOVERY_FLOWS)])
                  for instance in self.system.instances]
--- a/standins/flow_platform.py
+++ b/standins/flow_platform.py
@@ -17,11 +17,19 @@
 READY_PATH = "/readiness"
 CONFIGURATION_KEY = "op/config"
 
+# How long an upstream is cold after a start during traffic, and the requests per second
+# that it bears meanwhile.
+COLD_START_S, COLD_PER_S = 8, 1
+
 
 def upstream_key(identity):
     return "servers/i-%x" % identity
 
 
+def evacuation_key(zone):
+    return "op/evacuate/" + zone
+
+
 def datagram_socket(address):
     """A UDP socket that is bound to an address and port."""
     udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -73,8 +81,11 @@
                       sequence, acknowledged, tag, raw[HEADER.size:], mark)
 
 
-def configuration(version, routes):
-    return {"Version": version, "Services": [], "Limits": {"IdleTimeoutMs": 15000}, "Routes": [
+def configuration(version, routes, cold_per_s=0):
+    """A configuration; with a rate, the services limit what their cold upstreams get."""
+    services = [{"Name": service, "ColdStartS": COLD_START_S, "ColdPerS": cold_per_s}
+                for service in sorted(set(routes.values()))] if cold_per_s else []
+    return {"Version": version, "Services": services, "Limits": {"IdleTimeoutMs": 15000}, "Routes": [
         {"Name": service, "Host": host, "Prefix": "/%d/" % port, "RouteType": "idempotent",
          "Service": service} for (host, port), service in routes.items()]}
 
@@ -115,10 +126,17 @@
             def do_GET(self):
                 parts = urllib.parse.urlparse(self.path)
                 query = urllib.parse.parse_qs(parts.query, keep_blank_values=True)
+                self.respond(lambda: store.answer(parts.path, query))
+
+            def do_POST(self):
+                body = self.rfile.read(int(self.headers["Content-Length"]))
+                self.respond(lambda: store.transact(json.loads(body)))
+
+            def respond(self, answer):
                 status = self.server.refusal or store.outage_status
                 content = {}
                 if status is None:
-                    status, content = store.answer(parts.path, query)
+                    status, content = answer()
                 time.sleep(store.delay_s)
                 body = json.dumps(content).encode()
                 self.send_response(status)
@@ -143,10 +161,16 @@
         threading.Thread(target=server.serve_forever, daemon=True).start()
         return server
 
+    @staticmethod
+    def encode(value):
+        """Encodes bytes as they are, and any other value as JSON."""
+        content = value if isinstance(value, bytes) else json.dumps(value).encode()
+        return base64.b64encode(content).decode()
+
     def put(self, key, value):
         with self.changed:
             self.revision += 1
-            text = base64.b64encode(json.dumps(value).encode()).decode()
+            text = self.encode(value)
             created_revision = self.items.get(key, {}).get("CreateRev", self.revision)
             self.items[key] = {"Key": key, "Value": text, "Revision": self.revision,
                                "CreateRev": created_revision, "Lease": 0}
@@ -187,7 +211,7 @@
         """Keys whose acknowledged value the store does not have."""
         return [key for key, value in self.acknowledged.items()
                 if key not in self.items
-                or json.loads(base64.b64decode(self.items[key]["Value"])) != value]
+                or self.items[key]["Value"] != self.encode(value)]
 
     def outdated_keys(self):
         """Keys that were removed before the store returned to a copy that has them."""
@@ -197,12 +221,28 @@
         with self.changed:
             self.events, self.discarded_until = [], self.revision
 
+    def transact(self, body):
+        """Writes and removes keys if all conditions hold. Returns the status and the content."""
+        with self.changed:
+            revision = lambda key: self.items.get(key, {}).get("Revision", 0)
+            failed = [condition["Key"] for condition in body["ExpectedRev"]
+                      if revision(condition["Key"]) != condition["Revision"]]
+            if failed:
+                return 412, {"items": [self.items[key] for key in failed if key in self.items]}
+            for put in body["Puts"]:
+                self.put(put["Key"], base64.b64decode(put["Value"]))
+            for key in body["Remove"]:
+                self.remove(key)
+            return 200, {"Revision": self.revision}
+
     def answer(self, path, query):
         """Returns the status and the content."""
         with self.changed:
             if path == "/kv-range":
-                return 200, {"items": list(self.items.values()), "HasMore": False,
-                             "StoreRevision": self.revision}
+                prefix = query["Prefix"][0]
+                return 200, {"items": [item for key, item in self.items.items()
+                                       if key.startswith(prefix)],
+                             "HasMore": False, "StoreRevision": self.revision}
             after = int(query["after"][0])
             pending_events = lambda: [event for event in self.events if event["Revision"] > after]
             era = self.era
@@ -220,6 +260,18 @@
             server.server_close()
 
 
+def foreign_entries(address):
+    """Values of registrations by another writer, none of which names a usable upstream."""
+    valid = Upstream.make_registration(address, "chat")
+    entries = [{key: value for key, value in valid.items() if key != field}
+               for field in ("Service", "Address", "Zone", "State", "Concurrency")]
+    entries += [{**valid, field: value} for field, value in (
+        ("Service", 7), ("Address", None), ("Zone", ["zone-a"]), ("State", "asleep"),
+        ("Concurrency", "2"), ("Concurrency", -1), ("ColdLeftMs", 1e300), ("born", {}),
+        ("Service", "unknown"))]
+    return entries + [b"", b"\xff\xfe", b'{"Service":', b"\x91" * 100000, [valid]]
+
+
 class Upstream:
     """Answers packets directly to the client and records the packets that it
     receives. Listens for TCP connections as well, since instances check whether
@@ -228,7 +280,7 @@
     def __init__(self, identity, address, port, client_port, on_packet=None):
         self.identity, self.client_port, self.on_packet = identity, client_port, on_packet
         self.endpoint = (address, port)
-        self.address = "%s:%d" % self.endpoint
+        self.address, self.zone = "%s:%d" % self.endpoint, "zone-a"
         self.received = []
         # A silent upstream neither reads nor answers packets.
         self.is_silent = False
@@ -252,13 +304,16 @@
         self.listener.close()
 
     @staticmethod
-    def make_registration(address, service, state="ready", start_count=1):
+    def make_registration(address, service, state="ready", start_count=1, zone="zone-a",
+                          cold_s=0):
         """Returns the registration of an upstream."""
-        return {"Service": service, "Address": address, "Zone": "zone-a", "Version": "v1",
-                "Concurrency": 2, "State": state, "ColdLeftMs": 0, "Seq": 1, "born": start_count}
+        return {"Service": service, "Address": address, "Zone": zone, "Version": "v1",
+                "Concurrency": 2, "State": state, "ColdLeftMs": 1000 * cold_s, "Seq": 1,
+                "born": start_count}
 
-    def registration(self, service, state="ready", start_count=1):
-        return self.make_registration(self.address, service, state, start_count)
+    def registration(self, service, state="ready", start_count=1, cold_s=0):
+        return self.make_registration(self.address, service, state, start_count, self.zone,
+                                      cold_s)
 
     def serve(self, udp_socket):
         while True:
