Disregard evidence of all upstreams of a service

Cause: with own evidence of all upstreams, the latest 40% were ranked behind the others, although such evidence does not tell which one to prefer. A trial flow counted towards the 40% only from the next decision on. Ruled out: no limit for own evidence, which leaves too few upstreams for the load. Change: own evidence of all ready upstreams of a service has no effect on the choice; the limit is applied again when a trial begins.

--- a/src/exchange_monitor.cpp
+++ b/src/exchange_monitor.cpp
@@ -41,13 +41,15 @@
 }
 
 void ExchangeMonitor::recordOpening(const FlowAddress &Address,
-                                    Upstream &Target, TimePoint Now) const {
+                                    Upstream &Target, TimePoint Now) {
   if (!Target.Responsiveness.needsTrial())
     return;
   // If the trial fails, its exchange is evidence by the end of this time.
   const Duration TrialTime =
       OpenTimeout + std::max(minEvidenceAge(Address), unusualAge(Target, Now));
   Target.Responsiveness.recordOpening(Now, TrialTime);
+  // The trial counts towards the upstreams that may be avoided at once.
+  applyPeerEvidence(Target.Registration.Service, Now);
 }
 
 void ExchangeMonitor::recordRequest(const FlowAddress &Address,
--- a/src/exchange_monitor.h
+++ b/src/exchange_monitor.h
@@ -37,7 +37,7 @@
 
   /// Called when an opening packet of a new flow is sent to \p Target.
   void recordOpening(const FlowAddress &Address, Upstream &Target,
-                     TimePoint Now) const;
+                     TimePoint Now);
 
   /// Called when the client of an open flow sends the first data after the last
   /// answer.
--- a/src/peer_evidence.cpp
+++ b/src/peer_evidence.cpp
@@ -107,8 +107,9 @@
 }
 
 // A service with two upstreams in the zone must be able to avoid one of them.
-void PeerEvidence::limitOwnEvidence(Group &Members) {
-  const size_t Limit = std::max<size_t>(1, maxAvoided(Members.Ready));
+void PeerEvidence::limitOwnEvidence(Group &Members, bool IsDisregarded) {
+  const size_t Limit =
+      IsDisregarded ? 0 : std::max<size_t>(1, maxAvoided(Members.Ready));
   std::vector<Upstream *> &Found = Members.WithOwnEvidence;
   if (Found.size() > Limit)
     std::sort(Found.begin(), Found.end(),
@@ -170,8 +171,13 @@
     else
       Members.Claims.push_back(Reported);
   }
+  // Evidence of all upstreams does not tell which one to prefer.
+  const bool IsAllUnresponsive =
+      std::all_of(Groups.begin(), Groups.end(), [](const auto &Entry) {
+        return Entry.second.WithOwnEvidence.size() == Entry.second.Ready;
+      });
   for (auto &[ZoneName, Members] : Groups) {
-    limitOwnEvidence(Members);
+    limitOwnEvidence(Members, IsAllUnresponsive);
     const size_t Selected = selectClaims(Members);
     for (size_t Index = 0; Index < Members.Claims.size(); ++Index) {
       const Claim &Item = Members.Claims[Index];
--- a/src/peer_evidence.h
+++ b/src/peer_evidence.h
@@ -67,7 +67,7 @@
 
   bool isNewReport(const PeerReport &Report, TimePoint Now);
   Claim claimOf(Upstream &Target, TimePoint Now) const;
-  static void limitOwnEvidence(Group &Members);
+  static void limitOwnEvidence(Group &Members, bool IsDisregarded);
   /// Selects the claims that count; the others are at the end.
   static size_t selectClaims(Group &Members);
 
