Report unresponsive upstreams in log, metrics and status

Cause: operators could not see which upstreams are ranked behind others. Ruled out: a state in indigopoint_upstreams, since an unresponsive upstream is also ready or draining.

--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -30,6 +30,7 @@
     "evacuation-ended",
     "entry-unreadable",
     "upstream-silent",
+    "upstream-unresponsive",
     "upstream-checked",
     "flow-opened",
     "flow-moved",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -43,6 +43,9 @@
   EntryUnreadable,
   /// The opening packet of a flow timed out at the upstream.
   UpstreamSilent,
+  /// An upstream leaves requests unanswered, by evidence of this instance or of
+  /// others.
+  UpstreamUnresponsive,
   UpstreamChecked,
   FlowOpened,
   FlowMoved,
@@ -55,7 +58,7 @@
   LinesSuppressed
 };
 
-constexpr size_t LogEventCount = 25;
+constexpr size_t LogEventCount = 26;
 
 std::string_view nameOf(LogEvent Value);
 
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -52,6 +52,7 @@
   std::string start();
   std::string openReport();
   ForwarderView view() const;
+  void logUnresponsive(const Upstream &Target, const char *EvidenceSource);
   void logOpenTimeout(const FlowAddress &Flow,
                       const Upstream &UnresponsiveUpstream);
   void startCheck(const Upstream &Suspect);
@@ -103,29 +104,32 @@
       OnStop(std::move(OnStop)),
       Log({this->Settings.Name, this->Settings.LogLinesPerSecond}, TimeSource),
       Upstreams(this->Settings.Policy.Reachability),
-      Steering({this->Settings.Zone,
-                makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
-                                              this->Settings.Policy.Placement),
-                this->Settings.Policy.Placement, this->Settings.Policy.Checks,
-                this->Settings.PeerAddress},
-               TimeSource, Routes, Upstreams, Metrics,
-               {[this](const FlowAddress &Flow,
-                       const Upstream &UnresponsiveUpstream) {
-                  logOpenTimeout(Flow, UnresponsiveUpstream);
-                },
-                [this](const Upstream &Suspect) { startCheck(Suspect); },
-                [this](const PacketHeader &Packet,
-                       const SteeringDecision &Decision) {
-                  sendReset(Packet);
-                  logDecision(Packet, Decision);
-                },
-                [this] {
-                  return Pauses.isOutdated(Follower.sync().confirmedAt(),
-                                           TimeSource.now());
-                },
-                [this](const std::string &Zone) {
-                  return Follower.membersOf(Zone);
-                }}),
+      Steering(
+          {this->Settings.Zone,
+           makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
+                                         this->Settings.Policy.Placement),
+           this->Settings.Policy.Placement, this->Settings.Policy.Checks,
+           this->Settings.PeerAddress},
+          TimeSource, Routes, Upstreams, Metrics,
+          {[this](const FlowAddress &Flow,
+                  const Upstream &UnresponsiveUpstream) {
+             logOpenTimeout(Flow, UnresponsiveUpstream);
+           },
+           [this](const Upstream &Suspect) { startCheck(Suspect); },
+           [this](const PacketHeader &Packet,
+                  const SteeringDecision &Decision) {
+             sendReset(Packet);
+             logDecision(Packet, Decision);
+           },
+           [this] {
+             return Pauses.isOutdated(Follower.sync().confirmedAt(),
+                                      TimeSource.now());
+           },
+           [this](const std::string &Zone) { return Follower.membersOf(Zone); },
+           [this](const Upstream &Target) { logUnresponsive(Target, "own"); },
+           [this](const Upstream &Target) {
+             logUnresponsive(Target, "reported");
+           }}),
       UpdateApplier(this->Protocol.DecodeItem, TimeSource, Log, Routes,
                     Upstreams, registrationLifetime(this->Settings)),
       Follower(Loop, this->Settings, this->Protocol.Store, TimeSource, Log,
@@ -221,6 +225,17 @@
   });
 }
 
+void Forwarder::Impl::logUnresponsive(const Upstream &Target,
+                                      const char *EvidenceSource) {
+  Log.write(LogEvent::UpstreamUnresponsive, [&] {
+    return EventLog::Fields{{"upstream", toHex(Target.Registration.Id)},
+                            {"service", Target.Registration.Service},
+                            {"zone", Target.Registration.Zone},
+                            {"source", EvidenceSource},
+                            {"openExchanges", Target.Exchanges.count()}};
+  });
+}
+
 void Forwarder::Impl::startCheck(const Upstream &Suspect) {
   if (const Upstream *ReferenceUpstream =
           Upstreams.mostRecentlyAnswering(Suspect))
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -137,6 +137,9 @@
     Out.gauge("indigopoint_upstreams", "Upstreams by state.",
               {{"state", std::string(nameOf(State))}},
               static_cast<double>(View.Upstreams.count(State)));
+  Out.gauge("indigopoint_unresponsive_upstreams",
+            "Upstreams that leave requests unanswered.", {},
+            static_cast<double>(View.Upstreams.countUnresponsive(View.Now)));
   Out.gauge("indigopoint_evacuated_zones", "Zones that are evacuated.", {},
             static_cast<double>(View.Upstreams.evacuations().zones().size()));
   const StoreFollower::Calls &Calls = View.Follower.calls();
@@ -179,6 +182,7 @@
        {UpstreamState::Ready, UpstreamState::Draining,
         UpstreamState::Unregistered})
     Out["upstreams"][std::string(nameOf(State))] = View.Upstreams.count(State);
+  Out["unresponsiveUpstreams"] = View.Upstreams.countUnresponsive(View.Now);
   Out["evacuations"] = nlohmann::ordered_json::array();
   for (const auto &[Zone, StartedAt] : View.Upstreams.evacuations().zones())
     Out["evacuations"].push_back(
