--- a/src/event_log.h
+++ b/src/event_log.h
@@ -47,6 +47,9 @@
   EntryUnreadable,
   /// The opening packet of a flow timed out at the upstream.
   UpstreamSilent,
+  /// An upstream leaves requests unanswered, by evidence of this instance or of
+  /// others.
+  UpstreamUnresponsive,
   UpstreamChecked,
   FlowOpened,
   FlowMoved,
@@ -59,7 +62,7 @@
   LinesSuppressed
 };
 
-constexpr size_t LogEventCount = 27;
+constexpr size_t LogEventCount = 28;
 
 std::string_view nameOf(LogEvent Value);
 
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -53,6 +53,7 @@
   std::string start();
   std::string openReport();
   ForwarderView view() const;
+  void logUnresponsive(const Upstream &Target, const char *EvidenceSource);
   void logOpenTimeout(const FlowAddress &Flow,
                       const Upstream &UnresponsiveUpstream);
   void startCheck(const Upstream &Suspect);
@@ -134,8 +135,12 @@
            },
            [] { return std::chrono::system_clock::now(); },
            [this](const std::string &Zone) { return Follower.membersOf(Zone); },
-           [this](const Upstream &UnresponsiveUpstream) {
-             Reports.addEvidence(UnresponsiveUpstream);
+           [this](const Upstream &Target) {
+             Reports.addEvidence(Target);
+             logUnresponsive(Target, "own");
+           },
+           [this](const Upstream &Target) {
+             logUnresponsive(Target, "reported");
            }}),
       UpdateApplier(this->Protocol.DecodeItem, TimeSource, Log, Routes,
                     Upstreams, registrationLifetime(this->Settings)),
@@ -256,6 +261,17 @@
   });
 }
 
+void Forwarder::Impl::logUnresponsive(const Upstream &Target,
+                                      const char *EvidenceSource) {
+  Log.write(LogEvent::UpstreamUnresponsive, [&] {
+    return EventLog::Fields{{"upstream", toHex(Target.Registration.Id)},
+                            {"service", Target.Registration.Service},
+                            {"zone", Target.Registration.Zone},
+                            {"source", EvidenceSource},
+                            {"openExchanges", Target.Exchanges.count()}};
+  });
+}
+
 void Forwarder::Impl::startCheck(const Upstream &Suspect) {
   if (const Upstream *ReferenceUpstream =
           Upstreams.mostRecentlyAnswering(Suspect))
