--- a/src/balancing_policy.h
+++ b/src/balancing_policy.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "policy_options.h"
+#include "remaining_work.h"
 #include "upstream_registry.h"
 
 namespace indigopoint {
@@ -19,6 +21,9 @@
   /// first one, upstreams that answered recently are preferred; after the
   /// second one, upstreams in another zone than that of the upstream to avoid.
   uint32_t UnansweredOpenings = 0;
+  /// What is known of the remaining work of the upstreams; null if it does not
+  /// count.
+  const RemainingWork *Work = nullptr;
 };
 
 /// Chooses one of the candidates for a new flow; null if there are none.
@@ -32,13 +37,26 @@
 double flowsPerSlot(const Upstream &Target, TimePoint Now,
                     double WarmupShare = PlacementOptions().WarmupShare);
 
+/// The median of the upstreams' average response times; nothing if none is
+/// known.
+std::optional<Duration>
+medianResponseTime(const std::vector<Upstream *> &Candidates, TimePoint Now);
+
+/// How many times as long as \p Usual the upstream takes for an answer; 1 if
+/// that is not known.
+double slowdownOf(const Upstream &Target, std::optional<Duration> Usual,
+                  TimePoint Now);
+
 /// Returns a policy that prefers upstreams that are not suspect, then
-/// those in \p Zone to those in other zones, then the fewest flows per slot.
-/// Because of the zone preference, a network partition between zones affects
-/// only the flows of clients in another zone. If the zone lost a large
-/// share of its slots, the same share of the flows prefers other zones.
-/// An upstream that answers more slowly than the others of its service counts
-/// with accordingly fewer slots. \p Opts can switch off each of these rules.
+/// responsive ones, then those in \p Zone to those in other zones, then the
+/// fewest flows per slot. Because of the zone preference, a network partition
+/// between zones affects only the flows of clients in another zone. If the zone
+/// lost a large share of its slots, the same share of the flows prefers other
+/// zones. An upstream that answers more slowly than the others of its service
+/// counts with accordingly fewer slots. \p Opts can switch off each of these
+/// rules.
+/// With PlacementOptions::CountRemainingWork, the least work per slot comes
+/// before the fewest flows, once the cost of the flow's route is known.
 BalancingPolicy makeZoneAwareLeastFlowsPolicy(std::string Zone,
                                               PlacementOptions Opts = {});
 
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -24,6 +24,10 @@
   /// The store cannot be reached.
   StoreLost,
   StoreRegained,
+  /// No upstream answers and the store data is outdated, so the instance is not
+  /// ready.
+  UpstreamsLost,
+  UpstreamsRegained,
   /// The store came back from an older copy.
   StoreRestored,
   /// The restored store has an older registration than what was known.
@@ -43,6 +47,9 @@
   EntryUnreadable,
   /// The opening packet of a flow timed out at the upstream.
   UpstreamSilent,
+  /// An upstream leaves requests unanswered, by evidence of this instance or of
+  /// others.
+  UpstreamUnresponsive,
   UpstreamChecked,
   FlowOpened,
   FlowMoved,
@@ -55,7 +62,7 @@
   LinesSuppressed
 };
 
-constexpr size_t LogEventCount = 25;
+constexpr size_t LogEventCount = 28;
 
 std::string_view nameOf(LogEvent Value);
 
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -1,6 +1,7 @@
 #include "flow_steering.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace indigopoint {
 
@@ -24,7 +25,8 @@
       TimeSource.now(), [this](const FlowAddress &Address, SteeredFlow &Flow) {
         onOpenTimeout(Address, Flow);
       });
-  const SteeringDecision Decision = decide(Packet);
+  Exchanges.reportOverdue(TimeSource.now());
+  SteeringDecision Decision = decide(Packet);
   Metrics.countDecision(Decision);
   return Decision;
 }
@@ -32,6 +34,7 @@
 void FlowSteering::onOpenTimeout(const FlowAddress &Address,
                                  SteeredFlow &Flow) {
   clearPendingOpening(Flow);
+  endWork(Flow);
   Upstream *Target = Upstreams.find(Flow.Upstream);
   if (Target == nullptr)
     return;
@@ -103,13 +106,20 @@
   if (MatchedRoute == nullptr)
     return {SteeringAction::Reset, SteeringReason::NoRoute, nullptr};
   if (Flow != nullptr && Flow->InitialSequence != Packet.Sequence) {
+    Exchanges.recordAbandonment(*Flow, TimeSource.now());
     uncountFlow(*Flow);
     Flows.erase(Packet.Flow);
     Flow = nullptr;
   }
-  if (Flow == nullptr)
+  if (Flow == nullptr) {
+    // A retransmitted opening may be open through another instance.
+    if (!IsRetransmission)
+      if (auto Inputs = Admission.refusalOf(*MatchedRoute, Packet.Flow))
+        return {SteeringAction::Reset, SteeringReason::Overloaded, nullptr,
+                std::move(Inputs)};
     return assignNewUpstream(Packet, *MatchedRoute, nullptr,
                              checkPreviousOpening(Packet.Flow));
+  }
   Upstream *CurrentUpstream = Upstreams.find(Flow->Upstream);
   Flow->LastSeen = TimeSource.now();
   // A delayed first copy must not reach an upstream that takes no new flows any
@@ -143,7 +153,8 @@
                                                  UpstreamId UpstreamToAvoid) {
   const TimePoint Now = TimeSource.now();
   const RouteShare *Share = RouteTable::chooseShare(MatchedRoute, Packet.Flow);
-  const NewFlow FlowToOpen{Packet.Flow, UpstreamToAvoid, Packet.AckNumber};
+  const NewFlow FlowToOpen{Packet.Flow, UpstreamToAvoid, Packet.AckNumber,
+                           &Work};
   Upstream *Target =
       Share == nullptr ? nullptr : choose(Share->Service, FlowToOpen);
   if (Target == nullptr) {
@@ -161,6 +172,8 @@
     Flow = Flows.add(Packet.Flow);
   if (Flow != nullptr) {
     assign(*Flow, Target->Registration.Id);
+    // A client opens a flow in order to send a request.
+    startWork(*Flow, Packet.Flow.ServiceAddress, *Target);
     Flow->InitialSequence = Packet.Sequence;
     Flow->NextSequence = Packet.Sequence + 1;
     Flow->OpenedAt = Flow->LastSeen = Now;
@@ -168,6 +181,7 @@
     clearPendingOpening(*Flow);
     Flow->IsCountedAsPending = true;
     Target->Reachability.recordOpening(Now);
+    Exchanges.recordOpening(Packet.Flow, *Target, Now);
     LastFlowByClient[Packet.Flow.Client.Address] = Packet.Flow;
   }
   ServiceFlowMetrics &Service = Metrics.service(Target->Registration.Service);
@@ -185,12 +199,15 @@
 // time between the two openings is about TypicalOpenLatency.
 UpstreamId FlowSteering::checkPreviousOpening(const FlowAddress &Flow) {
   const auto LastFlow = LastFlowByClient.find(Flow.Client.Address);
-  const SteeredFlow *PreviousFlow = LastFlow == LastFlowByClient.end()
-                                        ? nullptr
-                                        : Flows.find(LastFlow->second);
-  if (PreviousFlow == nullptr || !PreviousFlow->IsCountedAsPending ||
+  SteeredFlow *PreviousFlow = LastFlow == LastFlowByClient.end()
+                                  ? nullptr
+                                  : Flows.find(LastFlow->second);
+  if (PreviousFlow == nullptr ||
       LastFlow->second.ServiceAddress != Flow.ServiceAddress)
     return {};
+  Exchanges.recordAbandonment(*PreviousFlow, TimeSource.now());
+  if (!PreviousFlow->IsCountedAsPending)
+    return {};
   Upstream *Target = Upstreams.find(PreviousFlow->Upstream);
   if (Target != nullptr &&
       TimeSource.now() - PreviousFlow->OpenedAt >= TypicalOpenLatency * 9 / 10)
@@ -216,12 +233,16 @@
   for (Upstream *Candidate : Upstreams.upstreamsOfService(Service))
     if (canAssignFlow(*Candidate, FlowToOpen.Address))
       Candidates.push_back(Candidate);
+  Exchanges.applyPeerEvidence(Service, TimeSource.now());
   return Opts.Policy(Candidates, FlowToOpen, TimeSource.now());
 }
 
 SteeringDecision FlowSteering::forwardOpening(SteeringReason Reason,
                                               Upstream &Target) {
   Warmups.recordOpening(Target, TimeSource.now());
+  if (Opts.Gate != nullptr)
+    Opts.Gate->recordOpening(Target.Registration.Service,
+                             Target.Registration.Id, TimeSource.now());
   return forwardUnlessAddressReused(Reason, Target);
 }
 
@@ -340,8 +361,15 @@
   if (HasNewData) {
     Flow.NextSequence = DataEnd;
     Flow.LastNewDataAt = Now;
-    if (!Flow.RequestSentAt)
+    if (!Flow.RequestSentAt) {
       Flow.RequestSentAt = Now;
+      Exchanges.recordRequest(Packet.Flow, Flow, Target);
+      startWork(Flow, Packet.Flow.ServiceAddress, Target);
+      const Route *MatchedRoute = Routes.find(Packet.Flow.ServiceAddress);
+      Admission.startExchange(
+          Packet.Flow, Flow, Target.Registration.Service,
+          MatchedRoute == nullptr ? Duration() : MatchedRoute->TimeLimit);
+    }
   }
   if (IsRetransmission) {
     if (!Flow.HasRetransmitted)
@@ -351,8 +379,10 @@
       Target.Reachability.recordRetransmission(Now);
     requestCheckIfDue(Target);
   }
-  if (Packet.IsFinal || Packet.IsReset)
+  if (Packet.IsFinal || Packet.IsReset) {
+    Exchanges.recordAbandonment(Flow, Now);
     setPhase(Flow, SteeredFlow::Phase::Closing);
+  }
   return IsRetransmission;
 }
 
@@ -361,12 +391,22 @@
 void FlowSteering::recordAnswer(const PacketHeader &Packet, SteeredFlow &Flow,
                                 Upstream &Target) {
   const TimePoint Now = TimeSource.now();
-  if (Flow.RequestSentAt && !Flow.HasRetransmitted)
+  if (Flow.RequestSentAt && !Flow.HasRetransmitted) {
     Target.ResponseTimes.record(Now - *Flow.RequestSentAt, Now);
+    if (Opts.Placement.CountRemainingWork)
+      Costs.record(Packet.Flow.ServiceAddress, Now - *Flow.RequestSentAt, Now);
+  }
+  // The answer to the opening precedes the first request.
+  if (Flow.RequestSentAt)
+    endWork(Flow);
+  ExchangeMonitor::recordAnswer(Flow, Target, Now);
+  Admission.recordAnswer(Flow, Target.Registration.Service);
   Flow.RequestSentAt.reset();
   Flow.HighestAck = Packet.AckNumber;
   Flow.HasRetransmitted = false;
   LastAnswerFromAnyUpstream = Now;
+  if (Opts.Gate != nullptr)
+    Opts.Gate->recordAnswer(Now);
   Target.Reachability.recordAnswer(Now);
 }
 
@@ -395,12 +435,31 @@
     Target->Reachability.recordOpeningEnd();
 }
 
+void FlowSteering::startWork(SteeredFlow &Flow, Endpoint RouteAddress,
+                             const Upstream &Target) {
+  if (!Opts.Placement.CountRemainingWork)
+    return;
+  endWork(Flow);
+  Flow.WorkId =
+      Work.start({Target.Registration.Id, Target.Registration.StartedAtMs},
+                 RouteAddress, TimeSource.now());
+}
+
+void FlowSteering::endWork(SteeredFlow &Flow) {
+  if (Flow.WorkId != 0)
+    Work.end(Flow.Upstream, std::exchange(Flow.WorkId, 0));
+}
+
 void FlowSteering::uncountFlow(SteeredFlow &Flow) {
   clearPendingOpening(Flow);
+  Exchanges.end(Flow);
+  endWork(Flow);
+  Upstream *OldUpstream = Upstreams.find(Flow.Upstream);
+  if (OldUpstream != nullptr)
+    Admission.endExchange(Flow, OldUpstream->Registration.Service);
   if (Flow.CurrentPhase == SteeredFlow::Phase::Closing)
     return;
-  if (Upstream *OldUpstream = Upstreams.find(Flow.Upstream);
-      OldUpstream && OldUpstream->OpenFlows > 0)
+  if (OldUpstream != nullptr && OldUpstream->OpenFlows > 0)
     --OldUpstream->OpenFlows;
 }
 
@@ -420,8 +479,13 @@
       [this](const FlowAddress &, SteeredFlow &Flow) { uncountFlow(Flow); });
   // An upper limit on the lifetime of any flow.
   constexpr Duration FlowLifetime = std::chrono::minutes(2);
+  Exchanges.reportOverdue(Now);
+  Exchanges.expire(Now);
   Upstreams.expire(Now, FlowLifetime);
+  Admission.sweep(
+      [this](const FlowAddress &Address) { return Flows.find(Address); });
   Warmups.expire(Now);
+  Work.expire(Now);
   std::erase_if(RetransmittingFlows, [this](const auto &Entry) {
     const SteeredFlow *Flow = Flows.find(Entry.second);
     return Flow == nullptr || !Flow->HasRetransmitted ||
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -7,7 +7,10 @@
 
 #include "balancing_policy.h"
 #include "clock.h"
+#include "exchange_monitor.h"
+#include "flow_admission.h"
 #include "packet.h"
+#include "reachability_gate.h"
 #include "route_table.h"
 #include "steered_flow_table.h"
 #include "steering_decision.h"
@@ -28,6 +31,9 @@
     CheckOptions Checks = {};
     /// The address that identifies this instance among InstancesOfZone.
     Endpoint Self = {};
+    /// Gets the openings and answers; may be null.
+    ReachabilityGate *Gate = nullptr;
+    AdmissionOptions Admission = {};
   };
 
   struct Hooks {
@@ -42,11 +48,22 @@
     /// Returns whether what is known of the store may be out of date after a
     /// pause of the process. Opening packets are then dropped.
     std::function<bool()> IsOutdated = [] { return false; };
+    /// Returns the time of day, by which all instances change the clients that
+    /// they refuse under overload.
+    FlowAdmission::WallTimeHook WallTime = {};
     /// Returns the instances that share the limits of upstreams in a zone (see
     /// WarmupLimiter).
     WarmupLimiter::InstancesHook InstancesOfZone = [](const std::string &) {
       return std::vector<Endpoint>();
     };
+    /// Called when this instance has new evidence that an upstream is
+    /// unresponsive, for the other instances of its zone.
+    std::function<void(const Upstream &)> OnUnresponsive =
+        [](const Upstream &) {};
+    /// Called when an upstream becomes unresponsive by evidence that other
+    /// instances reported.
+    std::function<void(const Upstream &)> OnReportedUnresponsive =
+        [](const Upstream &) {};
   };
 
   FlowSteering(Options Opts, const Clock &TimeSource, RouteTable &Routes,
@@ -54,13 +71,24 @@
                Hooks FlowHooks)
       : Opts(std::move(Opts)), TimeSource(TimeSource), Routes(Routes),
         Upstreams(Upstreams), Metrics(Metrics), FlowHooks(std::move(FlowHooks)),
-        Warmups(this->Opts.Self, this->FlowHooks.InstancesOfZone) {}
+        Warmups(this->Opts.Self, this->FlowHooks.InstancesOfZone),
+        Admission({this->Opts.Zone, this->Opts.Admission, this->Opts.Placement},
+                  TimeSource, Upstreams, Metrics, this->FlowHooks.WallTime),
+        Exchanges(this->Opts.Zone, this->Opts.Self, Routes, Upstreams, Flows,
+                  {this->FlowHooks.OnUnresponsive,
+                   this->FlowHooks.OnReportedUnresponsive,
+                   this->FlowHooks.IsOutdated}) {}
 
   SteeringDecision steer(const PacketHeader &Packet);
 
   /// Processes the result of a check that OnCheckNeeded requested.
   void recordCheckResult(UpstreamId Id, bool IsAccepting);
 
+  /// Processes evidence that another instance of the zone reported.
+  void recordPeerEvidence(const PeerReport &Report) {
+    Exchanges.recordPeerEvidence(Report, TimeSource.now());
+  }
+
   /// Removes closed and idle flows, and upstreams that no flow can use any
   /// more. Called about once a second.
   void sweep();
@@ -68,6 +96,9 @@
   /// The number of flows in the table.
   size_t flows() const { return Flows.size(); }
 
+  /// The loads to report to other instances, and those that they reported.
+  ServiceLoadTable &loads() { return Admission.loads(); }
+
 private:
   SteeringDecision decide(const PacketHeader &Packet);
   void onOpenTimeout(const FlowAddress &Address, SteeredFlow &Flow);
@@ -105,7 +136,8 @@
   void resetWaitingFlows(Upstream &DeadUpstream);
   Upstream *choose(const std::string &Service, const NewFlow &FlowToOpen);
   bool canAssignFlow(const Upstream &Target, const FlowAddress &Flow);
-  /// Forwards an opening packet and counts it as load of the upstream.
+  /// Forwards an opening packet and counts it for the limit of cold upstreams
+  /// and for the reachability gate.
   SteeringDecision forwardOpening(SteeringReason Reason, Upstream &Target);
   /// Updates the flow and its upstream's reachability from a packet after the
   /// opening. Returns whether the packet retransmits unacknowledged data.
@@ -122,6 +154,11 @@
   /// openings.
   void uncountFlow(SteeredFlow &Flow);
   void assign(SteeredFlow &Flow, UpstreamId NewId);
+  /// Counts a request of the flow as work of its upstream until endWork()
+  /// or the flow's next request.
+  void startWork(SteeredFlow &Flow, Endpoint RouteAddress,
+                 const Upstream &Target);
+  void endWork(SteeredFlow &Flow);
 
   Options Opts;
   const Clock &TimeSource;
@@ -130,7 +167,11 @@
   SteeringMetrics &Metrics;
   Hooks FlowHooks;
   WarmupLimiter Warmups;
+  CostModel Costs;
+  RemainingWork Work{Costs};
+  FlowAdmission Admission;
   SteeredFlowTable Flows;
+  ExchangeMonitor Exchanges;
   /// The flow that each client opened last, by the client's address.
   std::unordered_map<uint32_t, FlowAddress> LastFlowByClient;
   /// Flows whose clients retransmit, by upstream. May also hold flows that were
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -10,6 +10,7 @@
 #include "forwarder_report.h"
 #include "http_server.h"
 #include "pause_guard.h"
+#include "peer_reporter.h"
 #include "steady_clock.h"
 #include "steering_log.h"
 #include "udp_endpoint.h"
@@ -52,6 +53,7 @@
   std::string start();
   std::string openReport();
   ForwarderView view() const;
+  void logUnresponsive(const Upstream &Target, const char *EvidenceSource);
   void logOpenTimeout(const FlowAddress &Flow,
                       const Upstream &UnresponsiveUpstream);
   void startCheck(const Upstream &Suspect);
@@ -66,8 +68,10 @@
   void finishStop();
   void recordActivity();
   bool isReady() const {
-    return !Drain && Routes.isLoaded() && Upstreams.isComplete();
+    return !Drain && Routes.isLoaded() && Upstreams.isComplete() &&
+           Gate.isReachable(TimeSource.now());
   }
+  void updateGate();
   EventLog::Fields storeStateFields() const;
 
   EventLoop &Loop;
@@ -79,9 +83,14 @@
   RouteTable Routes;
   UpstreamRegistry Upstreams;
   SteeringMetrics Metrics;
+  ReachabilityGate Gate;
+  bool WasReachable = true;
+  /// How often no upstream was reachable any more.
+  uint64_t UpstreamLosses = 0;
   FlowSteering Steering;
   StoreUpdateApplier UpdateApplier;
   StoreFollower Follower;
+  PeerReporter Reports;
   UpstreamCheck Checks;
   UdpEndpoint DataSocket;
   HttpServer ReadinessServer;
@@ -107,25 +116,41 @@
                 makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
                                               this->Settings.Policy.Placement),
                 this->Settings.Policy.Placement, this->Settings.Policy.Checks,
-                this->Settings.PeerAddress},
+                this->Settings.PeerAddress, &Gate,
+                this->Settings.Policy.Admission},
                TimeSource, Routes, Upstreams, Metrics,
-               {[this](const FlowAddress &Flow,
-                       const Upstream &UnresponsiveUpstream) {
-                  logOpenTimeout(Flow, UnresponsiveUpstream);
-                },
-                [this](const Upstream &Suspect) { startCheck(Suspect); },
-                [this](const PacketHeader &Packet,
-                       const SteeringDecision &Decision) {
-                  sendReset(Packet);
-                  logDecision(Packet, Decision);
-                },
-                [this] {
-                  return Pauses.isOutdated(Follower.sync().confirmedAt(),
-                                           TimeSource.now());
-                },
-                [this](const std::string &Zone) {
-                  return Follower.membersOf(Zone);
-                }}),
+               {.OnOpenTimeout =
+                    [this](const FlowAddress &Flow,
+                           const Upstream &UnresponsiveUpstream) {
+                      logOpenTimeout(Flow, UnresponsiveUpstream);
+                    },
+                .OnCheckNeeded =
+                    [this](const Upstream &Suspect) { startCheck(Suspect); },
+                .OnReset =
+                    [this](const PacketHeader &Packet,
+                           const SteeringDecision &Decision) {
+                      sendReset(Packet);
+                      logDecision(Packet, Decision);
+                    },
+                .IsOutdated =
+                    [this] {
+                      return Pauses.isOutdated(Follower.sync().confirmedAt(),
+                                               TimeSource.now());
+                    },
+                .WallTime = [] { return std::chrono::system_clock::now(); },
+                .InstancesOfZone =
+                    [this](const std::string &Zone) {
+                      return Follower.membersOf(Zone);
+                    },
+                .OnUnresponsive =
+                    [this](const Upstream &Target) {
+                      Reports.addEvidence(Target);
+                      logUnresponsive(Target, "own");
+                    },
+                .OnReportedUnresponsive =
+                    [this](const Upstream &Target) {
+                      logUnresponsive(Target, "reported");
+                    }}),
       UpdateApplier(this->Protocol.DecodeItem, TimeSource, Log, Routes,
                     Upstreams, registrationLifetime(this->Settings)),
       Follower(Loop, this->Settings, this->Protocol.Store, TimeSource, Log,
@@ -137,6 +162,16 @@
                 [this](const StoreItem &Known, const StoreItem *Restored) {
                   return UpdateApplier.supersedes(Known, Restored);
                 }}),
+      Reports(Loop,
+              {this->Settings.ReportAddress, this->Settings.PeerAddress,
+               this->Settings.Zone},
+              TimeSource,
+              {[this] { return Follower.recentPeersInZone(); },
+               [this](const PeerReport &Report) {
+                 Steering.recordPeerEvidence(Report);
+                 Steering.loads().recordPeerReport(Report);
+               },
+               [this] { return Steering.loads().ownLoads(); }}),
       Checks(Loop, this->Settings.Policy.Checks.UseReference,
              [this](UpstreamId Id, bool IsAccepting) {
                onCheckResult(Id, IsAccepting);
@@ -161,6 +196,8 @@
   ReadinessServer.route(
       "GET", Protocol.ReadyPath,
       [this](const HttpRequest &, const HttpServer::Respond &Respond) {
+        recordActivity();
+        updateGate();
         Respond({isReady() ? 200 : 503, "{}"});
       });
   if (std::string Problem = openReport(); !Problem.empty())
@@ -175,6 +212,8 @@
   });
   if (std::string Problem = Follower.start(); !Problem.empty())
     return Problem;
+  if (std::string Problem = Reports.open(); !Problem.empty())
+    return Problem;
   MaintenanceTimer =
       LoopEvent::every(Loop, MaintenancePeriod, [this] { maintain(); });
   return {};
@@ -202,8 +241,17 @@
 }
 
 ForwarderView Forwarder::Impl::view() const {
-  return {Metrics,          Routes,           Upstreams, Follower,        Log,
-          Steering.flows(), InvalidDatagrams, isReady(), TimeSource.now()};
+  return {Metrics,
+          Routes,
+          Upstreams,
+          Follower,
+          Log,
+          Steering.flows(),
+          InvalidDatagrams,
+          isReady(),
+          TimeSource.now(),
+          Reports.counters(),
+          UpstreamLosses};
 }
 
 void Forwarder::Impl::logOpenTimeout(const FlowAddress &Flow,
@@ -221,6 +269,20 @@
   });
 }
 
+void Forwarder::Impl::logUnresponsive(const Upstream &Target,
+                                      const char *EvidenceSource) {
+  const Duration OldestAge =
+      Target.Exchanges.oldestAge(TimeSource.now()).value_or(Duration());
+  Log.write(LogEvent::UpstreamUnresponsive, [&] {
+    return EventLog::Fields{{"upstream", toHex(Target.Registration.Id)},
+                            {"service", Target.Registration.Service},
+                            {"zone", Target.Registration.Zone},
+                            {"source", EvidenceSource},
+                            {"openExchanges", Target.Exchanges.count()},
+                            {"oldestMs", millisecondsOf(OldestAge)}};
+  });
+}
+
 void Forwarder::Impl::startCheck(const Upstream &Suspect) {
   if (const Upstream *ReferenceUpstream =
           Upstreams.mostRecentlyAnswering(Suspect))
@@ -258,6 +320,7 @@
   if (!Pauses.recordActivity(TimeSource.now()))
     return;
   Log.write(LogEvent::PauseNoticed, [this] { return storeStateFields(); });
+  Gate.discardOpenings();
   Follower.confirmNow();
 }
 
@@ -309,6 +372,7 @@
   recordActivity();
   Upstreams.recordStoreSync(Follower.sync().confirmedAt());
   UpdateApplier.applyDue();
+  updateGate();
   if (TimeSource.now() - LastExpiry >= ExpiryPeriod) {
     LastExpiry = TimeSource.now();
     Steering.sweep();
@@ -316,6 +380,22 @@
   writePending(Log, STDOUT_FILENO);
 }
 
+void Forwarder::Impl::updateGate() {
+  if (Drain || !Routes.isLoaded())
+    return;
+  Gate.update(Upstreams.available(),
+              Follower.sync().confirmedAt() + Follower.maxUsualAge(),
+              TimeSource.now());
+  const bool IsReachable = Gate.isReachable(TimeSource.now());
+  if (IsReachable == WasReachable)
+    return;
+  WasReachable = IsReachable;
+  if (!IsReachable)
+    ++UpstreamLosses;
+  Log.write(IsReachable ? LogEvent::UpstreamsRegained : LogEvent::UpstreamsLost,
+            [this] { return storeStateFields(); });
+}
+
 void Forwarder::Impl::stop() {
   TimeSource.refresh();
   if (Drain)
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -97,6 +97,19 @@
     Out.counter("indigopoint_flows_evacuated_total",
                 "New flows sent to other zones while the own one is evacuated.",
                 {{"service", Name}}, Service.OpenedDuringEvacuation);
+  for (const auto &[Name, Service] : View.Metrics.services())
+    for (const auto &[Priority, Count] : Service.RefusedByPriority)
+      Out.counter("indigopoint_flows_refused_total",
+                  "New flows refused because of overload.",
+                  {{"service", Name}, {"priority", std::to_string(Priority)}},
+                  Count);
+  for (const auto &[Name, Service] : View.Metrics.services())
+    Out.gauge("indigopoint_service_demand",
+              "Requests of the zone that wait for an answer.",
+              {{"service", Name}}, Service.Demand);
+  for (const auto &[Name, Service] : View.Metrics.services())
+    Out.gauge("indigopoint_service_capacity", "Slots of the usable upstreams.",
+              {{"service", Name}}, Service.Capacity);
   for (const auto &[Name, Service] : View.Metrics.services())
     // Opening packets that were not followed by another packet of the flow
     // before the open timeout.
@@ -127,6 +140,9 @@
   Out.counter("indigopoint_store_restorations_total",
               "Times that the store came back from an older copy.", {},
               View.Follower.restorations());
+  Out.counter("indigopoint_upstreams_lost_total",
+              "Times that no upstream was reachable any more.", {},
+              View.UpstreamLosses);
   Out.gauge("indigopoint_store_failures", "Failed calls in a row.", {},
             View.Follower.sync().failures());
   Out.gauge("indigopoint_peers", "Other instances heard of lately.", {},
@@ -137,6 +153,9 @@
     Out.gauge("indigopoint_upstreams", "Upstreams by state.",
               {{"state", std::string(nameOf(State))}},
               static_cast<double>(View.Upstreams.count(State)));
+  Out.gauge("indigopoint_unresponsive_upstreams",
+            "Upstreams that leave requests unanswered.", {},
+            static_cast<double>(View.Upstreams.countUnresponsive(View.Now)));
   Out.gauge("indigopoint_evacuated_zones", "Zones that are evacuated.", {},
             static_cast<double>(View.Upstreams.evacuations().zones().size()));
   const StoreFollower::Calls &Calls = View.Follower.calls();
@@ -148,6 +167,14 @@
               {{"target", "peer"}, {"result", "answered"}}, Calls.Peer);
   Out.counter("indigopoint_calls_total", "Calls by target and result.",
               {{"target", "peer"}, {"result", "failed"}}, Calls.PeerFailed);
+  for (const auto &[Result, Count] :
+       {std::pair("sent", View.Reports.Sent),
+        std::pair("received", View.Reports.Received),
+        std::pair("rejected", View.Reports.Rejected),
+        std::pair("outdated", View.Reports.Outdated)})
+    Out.counter("indigopoint_peer_reports_total",
+                "Reports between the instances of the zone.",
+                {{"result", Result}}, Count);
   Out.counter("indigopoint_log_lines_suppressed_total",
               "Log lines over the rate or size.", {}, View.Log.suppressed());
 }
@@ -179,11 +206,15 @@
        {UpstreamState::Ready, UpstreamState::Draining,
         UpstreamState::Unregistered})
     Out["upstreams"][std::string(nameOf(State))] = View.Upstreams.count(State);
+  Out["unresponsiveUpstreams"] = View.Upstreams.countUnresponsive(View.Now);
   Out["evacuations"] = nlohmann::ordered_json::array();
   for (const auto &[Zone, StartedAt] : View.Upstreams.evacuations().zones())
     Out["evacuations"].push_back(
         {{"zone", Zone}, {"ageMs", millisecondsOf(View.Now - StartedAt)}});
-  return Out.dump(2);
+  // Zones are named by keys of the store, which may hold bytes that are not
+  // UTF-8.
+  return Out.dump(2, ' ', false,
+                  nlohmann::ordered_json::error_handler_t::replace);
 }
 
 } // namespace indigopoint
--- a/src/policy_options.h
+++ b/src/policy_options.h
@@ -32,6 +32,11 @@
   /// Send a new flow to another upstream than the client's previous flow if
   /// that one was probably refused.
   bool AvoidRefusedUpstream = true;
+  /// Prefer upstreams that are not unresponsive.
+  bool AvoidUnresponsive = true;
+  /// Prefer the least remaining work of open exchanges per slot to the fewest
+  /// open flows. Off, because it reduces the p99 of response times too little.
+  bool CountRemainingWork = false;
   bool operator==(const PlacementOptions &) const = default;
 };
 
@@ -81,6 +86,14 @@
   bool operator==(const StoreSharingOptions &) const = default;
 };
 
+/// Whether less urgent flows are refused while the demand of a service exceeds
+/// its capacity.
+struct AdmissionOptions {
+  /// Takes effect only for routes with a priority.
+  bool Enabled = true;
+  bool operator==(const AdmissionOptions &) const = default;
+};
+
 /// The rules by which a forwarder decides, each of which can be changed or
 /// switched off in the settings to measure its effect.
 struct PolicyOptions {
@@ -88,6 +101,7 @@
   ReachabilityOptions Reachability;
   CheckOptions Checks;
   StoreSharingOptions StoreSharing;
+  AdmissionOptions Admission;
   bool operator==(const PolicyOptions &) const = default;
 };
 
--- a/src/policy_settings.cpp
+++ b/src/policy_settings.cpp
@@ -29,6 +29,8 @@
   Reader.boolean("preferAnsweringUpstreams", Out.PreferAnsweringUpstreams);
   Reader.wholeNumber("maxOpeningsInZone", Out.MaxOpeningsInZone, MaxOpenings);
   Reader.boolean("avoidRefusedUpstream", Out.AvoidRefusedUpstream);
+  Reader.boolean("avoidUnresponsive", Out.AvoidUnresponsive);
+  Reader.boolean("countRemainingWork", Out.CountRemainingWork);
 }
 
 void readReachability(SettingsReader &Reader, ReachabilityOptions &Out) {
@@ -55,6 +57,10 @@
                 MaxDelayAfterChangeShare);
 }
 
+void readAdmission(SettingsReader &Reader, AdmissionOptions &Out) {
+  Reader.boolean("enabled", Out.Enabled);
+}
+
 } // namespace
 
 void readPolicyOptions(SettingsReader &Reader, PolicyOptions &Out) {
@@ -71,6 +77,9 @@
     Policy.object("storeSharing", [&Out](SettingsReader &Members) {
       readStoreSharing(Members, Out.StoreSharing);
     });
+    Policy.object("admission", [&Out](SettingsReader &Members) {
+      readAdmission(Members, Out.Admission);
+    });
   });
 }
 
--- a/src/steered_flow_table.h
+++ b/src/steered_flow_table.h
@@ -29,6 +29,10 @@
   bool IsCountedAsPending = false;
   /// Whether the client has retransmitted data that is not acknowledged yet.
   bool HasRetransmitted = false;
+  /// Whether the flow is counted among the open exchanges of its service.
+  bool IsCountedAsLoad = false;
+  /// Whether a request of the flow was answered.
+  bool HasAnsweredRequest = false;
   /// Sequence number of the opening packet. A different one in a later opening
   /// packet means that the client has reused the port for a new flow.
   uint32_t InitialSequence = 0;
@@ -41,6 +45,18 @@
   /// When the first data after the last answer was seen; unset if the flow
   /// waits for no answer.
   std::optional<TimePoint> RequestSentAt;
+  /// Whether the request is counted in its upstream's open exchanges.
+  bool IsCountedAsExchange = false;
+  /// Whether the exchange has been open for long enough to be evidence that the
+  /// upstream is unresponsive.
+  bool IsEvidence = false;
+  /// Whether the client has presumably given up the exchange.
+  bool IsAbandoned = false;
+  /// From this time on, the end of the exchange without an answer means that
+  /// the client's time limit has passed.
+  TimePoint AbandonedFrom{};
+  /// The open exchange of the flow in RemainingWork; 0 if there is none.
+  uint64_t WorkId = 0;
   /// When data was last seen that the client had not sent before.
   TimePoint LastNewDataAt{};
 };
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -57,6 +57,8 @@
   if (Result == Change::Restarted) {
     Entry.Reachability.reset();
     Entry.ResponseTimes = {};
+    Entry.Exchanges.reset(Now);
+    Entry.Responsiveness.reset(Now);
   }
   Entry.Registration = Registration;
   Entry.State = NewState;
@@ -145,6 +147,18 @@
          !Evacuations.contains(Target.Registration.Zone);
 }
 
+ReachabilityGate::Available UpstreamRegistry::available() const {
+  ReachabilityGate::Available Out;
+  for (const auto &[Service, Members] : Services) {
+    const auto Count = static_cast<size_t>(std::count_if(
+        Members.begin(), Members.end(),
+        [this](const Upstream *Member) { return takesNewFlows(*Member); }));
+    Out.Upstreams += Count;
+    Out.Services += Count > 0 ? 1 : 0;
+  }
+  return Out;
+}
+
 bool UpstreamRegistry::isPresumedStopped(const Upstream &Target) const {
   return Target.State == UpstreamState::Unregistered &&
          LastStoreSync - Target.UnregisteredAt >= ReRegistrationTime &&
@@ -174,6 +188,14 @@
       [State](const auto &Entry) { return Entry.second.State == State; });
 }
 
+size_t UpstreamRegistry::countUnresponsive(TimePoint Now) const {
+  return std::count_if(
+      Upstreams.begin(), Upstreams.end(), [Now](const auto &Entry) {
+        return Entry.second.State != UpstreamState::Unregistered &&
+               Entry.second.Responsiveness.isUnresponsive(Now);
+      });
+}
+
 size_t UpstreamRegistry::countInZone(const std::string &Zone) const {
   return std::count_if(
       Upstreams.begin(), Upstreams.end(), [&Zone](const auto &Entry) {
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -7,9 +7,12 @@
 #include <vector>
 
 #include "evacuation_table.h"
+#include "exchange_tracker.h"
 #include "packet.h"
+#include "reachability_gate.h"
 #include "reachability_tracker.h"
 #include "response_time_tracker.h"
+#include "responsiveness_tracker.h"
 #include "types.h"
 
 namespace indigopoint {
@@ -58,6 +61,10 @@
   ReachabilityTracker Reachability;
   /// Written by flow steering.
   ResponseTimeTracker ResponseTimes;
+  /// Written by flow steering.
+  ExchangeTracker Exchanges;
+  /// Written by flow steering.
+  ResponsivenessTracker Responsiveness;
 };
 
 /// The upstreams that registered themselves in the store, indexed by id,
@@ -138,6 +145,9 @@
   /// and not in an evacuated zone.
   bool takesNewFlows(const Upstream &Target) const;
 
+  /// The upstreams that take new flows, and their services.
+  ReachabilityGate::Available available() const;
+
   /// All upstreams of a service, in any state.
   const std::vector<Upstream *> &
   upstreamsOfService(const std::string &Service) const;
@@ -145,6 +155,9 @@
   /// How many upstreams are in a state.
   size_t count(UpstreamState State) const;
 
+  /// How many registered upstreams are unresponsive.
+  size_t countUnresponsive(TimePoint Now) const;
+
   /// How many registered upstreams are in a zone.
   size_t countInZone(const std::string &Zone) const;
 
--- a/tests/forwarder_settings_test.cpp
+++ b/tests/forwarder_settings_test.cpp
@@ -49,6 +49,20 @@
             "nearest known key \"store\"");
 }
 
+// Guards against reports without an address that tells their senders apart.
+TEST(ForwarderSettingsTest, ReportAddressNeedsAPeerAddress) {
+  ForwarderSettings Settings;
+  const std::string ReportAddress = R"(,"reportAddress":"10.1.0.1:7721")";
+  const auto Errors = parseForwarderSettings(
+      "{" + Minimal + R"(,"peerAddress":"10.1.0.1:8166")" + ReportAddress + "}",
+      "s.json", Settings);
+  ASSERT_TRUE(Errors.empty()) << toString(Errors[0]);
+  EXPECT_EQ(toString(Settings.ReportAddress), "10.1.0.1:7721");
+  const auto Missing = errorsOf(Minimal + ReportAddress);
+  ASSERT_EQ(Missing.size(), 1U);
+  EXPECT_EQ(Missing[0].Pointer, "/reportAddress");
+}
+
 TEST(ForwarderSettingsTest, ReadsPolicyOptions) {
   ForwarderSettings Settings;
   const auto Errors = parseForwarderSettings("{" + Minimal + R"(,
@@ -56,7 +70,8 @@
                                  "maxOpeningsInZone": 0},
                    "reachability": {"maxBackoffMs": 500},
                    "checks": {"useReference": false},
-                   "storeSharing": {"delayAfterChangeShare": 0.1}}})",
+                   "storeSharing": {"delayAfterChangeShare": 0.1},
+                   "admission": {"enabled": false}}})",
                                              "s.json", Settings);
   ASSERT_TRUE(Errors.empty()) << toString(Errors[0]);
   PolicyOptions Expected;
@@ -66,6 +81,7 @@
   Expected.Reachability.MaxBackoff = std::chrono::milliseconds(500);
   Expected.Checks.UseReference = false;
   Expected.StoreSharing.DelayAfterChangeShare = 0.1;
+  Expected.Admission.Enabled = false;
   EXPECT_EQ(Settings.Policy, Expected);
 }
 
