--- a/tests/command_evacuate_test.cpp
+++ b/tests/command_evacuate_test.cpp
@@ -214,6 +214,7 @@
   EXPECT_EQ(run({"a"}), EX_OK);
   EXPECT_EQ(run({"a", "--cancel"}), EX_CANTCREAT);
   EXPECT_TRUE(contains(Errors, "another operator")) << Errors;
+  EXPECT_EQ(Errors.rfind("indigopoint evacuate: ", 0), 0U) << Errors;
   EXPECT_TRUE(isEvacuated("a"));
 }
 
