Return logged decisions without const in the steering log test

Cause: clang-tidy rejects a const local that is returned, since a decision now holds more than numbers and could be moved. Change: the locals are not const.

--- a/tests/steering_log_test.cpp
+++ b/tests/steering_log_test.cpp
@@ -15,7 +15,7 @@
 protected:
   // Steers the packet and logs the decision, as the forwarder does.
   SteeringDecision steer(const PacketHeader &Packet) {
-    const SteeringDecision Decision = Steering.steer(Packet);
+    SteeringDecision Decision = Steering.steer(Packet);
     write(Packet, Decision);
     return Decision;
   }
@@ -78,7 +78,7 @@
     FlowSteering NewSteering({"a", makeZoneAwareLeastFlowsPolicy("a")},
                              TimeSource, EmptyTable, Upstreams, Metrics, {});
     const PacketHeader Packet = opening(1);
-    const SteeringDecision Decision = NewSteering.steer(Packet);
+    SteeringDecision Decision = NewSteering.steer(Packet);
     write(Packet, Decision);
     return Decision;
   }
