Switch admission control off by default

A zone refuses by its own load while other zones have room. Ruled out: tuning the operating point, which does not know other zones either. Change: AdmissionOptions::Enabled is false, loads are not reported while it is; the tests of admission switch it on.

--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -171,7 +171,11 @@
                  Steering.recordPeerEvidence(Report);
                  Steering.loads().recordPeerReport(Report);
                },
-               [this] { return Steering.loads().ownLoads(); }}),
+               [this] {
+                 return this->Settings.Policy.Admission.Enabled
+                            ? Steering.loads().ownLoads()
+                            : std::vector<ServiceLoad>();
+               }}),
       Checks(Loop, this->Settings.Policy.Checks.UseReference,
              [this](UpstreamId Id, bool IsAccepting) {
                onCheckResult(Id, IsAccepting);
--- a/src/policy_options.h
+++ b/src/policy_options.h
@@ -89,8 +89,9 @@
 /// Whether less urgent flows are refused while the demand of a service exceeds
 /// its capacity.
 struct AdmissionOptions {
-  /// Takes effect only for routes with a priority.
-  bool Enabled = true;
+  /// Takes effect only for routes with a priority. Off, because a zone refuses
+  /// flows by its own load even if other zones have room.
+  bool Enabled = false;
   bool operator==(const AdmissionOptions &) const = default;
 };
 
--- a/tests/admission_policy_test.cpp
+++ b/tests/admission_policy_test.cpp
@@ -60,7 +60,7 @@
   }
 
   TimePoint Now{1h};
-  AdmissionPolicy Policy{AdmissionOptions()};
+  AdmissionPolicy Policy{AdmissionOptions{true}};
   AdmissionLoad Load;
   Duration Response = 30ms;
   Route Urgent;
@@ -158,7 +158,7 @@
   Now += 2001ms;
   EXPECT_EQ(offer(4s), std::pair(1.0, 1.0));
   Load = {0, 60, 1000};
-  Policy = AdmissionPolicy(AdmissionOptions());
+  Policy = AdmissionPolicy(AdmissionOptions{true});
   EXPECT_EQ(offer(1s), std::pair(1.0, 1.0));
 }
 
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -138,7 +138,13 @@
   std::vector<uint64_t> CheckedUpstreams;
   std::vector<PacketHeader> ResetFlows;
   FlowSteering Steering{
-      {"a", makeZoneAwareLeastFlowsPolicy("a")},
+      {"a",
+       makeZoneAwareLeastFlowsPolicy("a"),
+       {},
+       {},
+       {},
+       nullptr,
+       {.Enabled = true}},
       TimeSource,
       Routes,
       Upstreams,
