Leave a zone whose upstreams are all silent

Flows that were idle at the dark upstreams lost their next request.

Change: a zone is silent when for 600 ms no upstream of it answers although exchanges wait at ten of them, while those of other zones answer. Its instances are then not ready, avoid its upstreams and reset the flows that lose nothing by it. UnansweredExchanges is the part of ReachabilityGate that both rules share.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -74,18 +74,43 @@
         Flow->CurrentPhase != SteeredFlow::Phase::Open ||
         !mayResetOnSuspicion(It->second))
       continue;
-    PacketHeader Packet;
-    Packet.Flow = It->second;
-    Packet.AckNumber = Flow->HighestAck;
-    const SteeringDecision Decision{
-        SteeringAction::Reset, SteeringReason::UpstreamDead, &DeadUpstream};
-    setPhase(*Flow, SteeredFlow::Phase::Closing);
-    Metrics.countDecision(Decision);
-    FlowHooks.OnReset(Packet, Decision);
+    resetFlow(It->second, *Flow, DeadUpstream);
   }
   RetransmittingFlows.erase(Begin, End);
 }
 
+void FlowSteering::resetFlow(const FlowAddress &Address, SteeredFlow &Flow,
+                             Upstream &Target) {
+  PacketHeader Packet;
+  Packet.Flow = Address;
+  Packet.AckNumber = Flow.HighestAck;
+  const SteeringDecision Decision{SteeringAction::Reset,
+                                  SteeringReason::UpstreamDead, &Target};
+  setPhase(Flow, SteeredFlow::Phase::Closing);
+  Metrics.countDecision(Decision);
+  FlowHooks.OnReset(Packet, Decision);
+}
+
+// The client of an idle flow sends its next request to a silent upstream unless
+// the flow is reset before. A waiting request that is not idempotent is left
+// alone, since its client would not send it again.
+void FlowSteering::leaveSilentZone() {
+  const TimePoint Now = TimeSource.now();
+  for (Upstream *Silent : Upstreams.upstreamsOfZone(Opts.Zone))
+    Silent->Reachability.recordOpenTimeout(Now);
+  if (!Opts.Checks.ResetFlowsOfSilentZone)
+    return;
+  Flows.forEach([&](const FlowAddress &Address, SteeredFlow &Flow) {
+    Upstream *Target = Upstreams.find(Flow.Upstream);
+    if (Target == nullptr || Target->Registration.Zone != Opts.Zone ||
+        Flow.CurrentPhase != SteeredFlow::Phase::Open)
+      return;
+    const bool IsIdle = !Flow.RequestSentAt;
+    if (IsIdle || mayResetOnSuspicion(Address))
+      resetFlow(Address, Flow, *Target);
+  });
+}
+
 SteeringDecision FlowSteering::decide(const PacketHeader &Packet) {
   // Without a configuration the packet may belong to an open flow of a valid
   // route, so it must not be reset.
@@ -241,8 +266,9 @@
                                               Upstream &Target) {
   Warmups.recordOpening(Target, TimeSource.now());
   if (Opts.Gate != nullptr)
-    Opts.Gate->recordOpening(Target.Registration.Service,
-                             Target.Registration.Id, TimeSource.now());
+    Opts.Gate->recordSent(Target.Registration.Service, Target.Registration.Id,
+                          Target.Registration.Zone == Opts.Zone,
+                          TimeSource.now());
   return forwardUnlessAddressReused(Reason, Target);
 }
 
@@ -363,6 +389,10 @@
     Flow.LastNewDataAt = Now;
     if (!Flow.RequestSentAt) {
       Flow.RequestSentAt = Now;
+      if (Opts.Gate != nullptr)
+        Opts.Gate->recordSent(Target.Registration.Service,
+                              Target.Registration.Id,
+                              Target.Registration.Zone == Opts.Zone, Now);
       Exchanges.recordRequest(Packet.Flow, Flow, Target);
       startWork(Flow, Packet.Flow.ServiceAddress, Target);
       const Route *MatchedRoute = Routes.find(Packet.Flow.ServiceAddress);
@@ -406,7 +436,7 @@
   Flow.HasRetransmitted = false;
   LastAnswerFromAnyUpstream = Now;
   if (Opts.Gate != nullptr)
-    Opts.Gate->recordAnswer(Now);
+    Opts.Gate->recordAnswer(Target.Registration.Zone == Opts.Zone, Now);
   Target.Reachability.recordAnswer(Now);
 }
 
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -89,6 +89,11 @@
     Exchanges.recordPeerEvidence(Report, TimeSource.now());
   }
 
+  /// Called when all upstreams of the own zone have become silent: avoids those
+  /// of which no answer arrives meanwhile, and resets the flows that lose
+  /// nothing by it.
+  void leaveSilentZone();
+
   /// Removes closed and idle flows, and upstreams that no flow can use any
   /// more. Called about once a second.
   void sweep();
@@ -132,6 +137,9 @@
   /// Whether a flow may be reset although its upstream may only be silent.
   bool mayResetOnSuspicion(const FlowAddress &Flow) const;
   void requestCheckIfDue(Upstream &Target);
+  /// Resets an open flow that sent no packet now.
+  void resetFlow(const FlowAddress &Address, SteeredFlow &Flow,
+                 Upstream &Target);
   /// Resets the flows of a dead upstream whose clients wait for an answer.
   void resetWaitingFlows(Upstream &DeadUpstream);
   Upstream *choose(const std::string &Service, const NewFlow &FlowToOpen);
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -112,6 +112,7 @@
       OnStop(std::move(OnStop)),
       Log({this->Settings.Name, this->Settings.LogLinesPerSecond}, TimeSource),
       Upstreams(this->Settings.Policy.Reachability),
+      Gate(this->Settings.Policy.Reachability.LeaveSilentZone),
       Steering({this->Settings.Zone,
                 makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
                                               this->Settings.Policy.Placement),
@@ -324,7 +325,7 @@
   if (!Pauses.recordActivity(TimeSource.now()))
     return;
   Log.write(LogEvent::PauseNoticed, [this] { return storeStateFields(); });
-  Gate.discardOpenings();
+  Gate.discardWaits();
   Follower.confirmNow();
 }
 
@@ -387,9 +388,15 @@
 void Forwarder::Impl::updateGate() {
   if (Drain || !Routes.isLoaded())
     return;
-  Gate.update(Upstreams.available(),
-              Follower.sync().confirmedAt() + Follower.maxUsualAge(),
+  const bool WasZoneSilent = Gate.isZoneSilent();
+  Gate.update({Upstreams.available(), Upstreams.availableIn(Settings.Zone),
+               Follower.sync().confirmedAt() + Follower.maxUsualAge(),
+               Upstreams.lastStartIn(Settings.Zone)},
               TimeSource.now());
+  if (Gate.isZoneSilent() && !WasZoneSilent) {
+    Steering.leaveSilentZone();
+    DataSocket.flush();
+  }
   const bool IsReachable = Gate.isReachable(TimeSource.now());
   if (IsReachable == WasReachable)
     return;
@@ -397,7 +404,11 @@
   if (!IsReachable)
     ++UpstreamLosses;
   Log.write(IsReachable ? LogEvent::UpstreamsRegained : LogEvent::UpstreamsLost,
-            [this] { return storeStateFields(); });
+            [this] {
+              EventLog::Fields Line = storeStateFields();
+              Line["zoneSilent"] = Gate.isZoneSilent();
+              return Line;
+            });
 }
 
 void Forwarder::Impl::stop() {
--- a/src/policy_options.h
+++ b/src/policy_options.h
@@ -52,6 +52,9 @@
   /// Suspect an upstream while several of its openings are unanswered for
   /// longer than usual.
   bool SuspectPendingOpenings = true;
+  /// Report an instance as not ready while the upstreams of its zone are silent
+  /// and those of other zones answer.
+  bool LeaveSilentZone = true;
   bool operator==(const ReachabilityOptions &) const = default;
 };
 
@@ -68,6 +71,9 @@
   /// Their clients get an answer sooner, but lose that of an upstream that was
   /// only silent.
   bool ResetNonIdempotentFlows = false;
+  /// Reset the flows of a zone whose upstreams are all silent, if their clients
+  /// lose nothing by it.
+  bool ResetFlowsOfSilentZone = true;
   bool operator==(const CheckOptions &) const = default;
 };
 
--- a/src/policy_settings.cpp
+++ b/src/policy_settings.cpp
@@ -39,6 +39,7 @@
   Reader.milliseconds("failedCheckLifetimeMs", Out.FailedCheckLifetime, 0,
                       MaxCheckLifetimeMs);
   Reader.boolean("suspectPendingOpenings", Out.SuspectPendingOpenings);
+  Reader.boolean("leaveSilentZone", Out.LeaveSilentZone);
 }
 
 void readChecks(SettingsReader &Reader, CheckOptions &Out) {
@@ -47,6 +48,7 @@
   Reader.boolean("useReference", Out.UseReference);
   Reader.boolean("resetWaitingFlows", Out.ResetWaitingFlows);
   Reader.boolean("resetNonIdempotentFlows", Out.ResetNonIdempotentFlows);
+  Reader.boolean("resetFlowsOfSilentZone", Out.ResetFlowsOfSilentZone);
 }
 
 void readStoreSharing(SettingsReader &Reader, StoreSharingOptions &Out) {
--- a/src/reachability_gate.cpp
+++ b/src/reachability_gate.cpp
@@ -1,24 +1,14 @@
 #include "reachability_gate.h"
 
 #include <algorithm>
-#include <set>
-#include <string_view>
 
 namespace indigopoint {
 
 namespace {
 
-// Openings must have been unanswered for this long in all.
+// Several retransmissions of a client must have been unanswered.
 constexpr Duration MinSilence = std::chrono::seconds(1);
 
-// A client's time to its first retransmission. An upstream that got its first
-// opening more recently may still answer.
-constexpr Duration MinAnswerTime = std::chrono::milliseconds(200);
-
-// Openings count for this long, so that an instance with little traffic sees
-// enough of them.
-constexpr Duration OpeningLifetime = std::chrono::seconds(5);
-
 // Fewer upstreams, or the upstreams of one service, may fail on their own.
 constexpr size_t MinUpstreams = 3;
 constexpr size_t MinServices = 2;
@@ -30,55 +20,78 @@
 // one, since routers need a second to notice.
 constexpr Duration MinUnreachableTime = std::chrono::seconds(5);
 
+// A client's time to its second retransmission.
+constexpr Duration MinZoneSilence = std::chrono::milliseconds(600);
+
+// If half of a zone's upstreams failed, an instance would find this many silent
+// ones in a row once in a thousand times.
+constexpr size_t MinSilentInZone = 10;
+
 } // namespace
 
-void ReachabilityGate::recordOpening(const std::string &Service, UpstreamId Id,
-                                     TimePoint Now) {
-  const auto [It, IsNew] = Unanswered.try_emplace(Id);
-  Openings &Entry = It->second;
-  if (IsNew)
-    Entry.Service = Service;
-  if (IsNew || Now - Entry.Last > OpeningLifetime)
-    Entry.First = Now;
-  Entry.Last = Now;
+void ReachabilityGate::recordSent(const std::string &Service, UpstreamId Id,
+                                  bool IsInOwnZone, TimePoint Now) {
+  AllWaits.recordSent(Service, Id, Now);
+  if (IsInOwnZone)
+    ZoneWaits.recordSent(Service, Id, Now);
 }
 
-void ReachabilityGate::recordAnswer(TimePoint Now) {
-  Unanswered.clear();
+void ReachabilityGate::recordAnswer(bool IsInOwnZone, TimePoint Now) {
+  AllWaits.clear();
   UnreachableUntil = std::min(UnreachableUntil, Now);
+  if (!IsInOwnZone) {
+    LastAnswerFromOtherZone = Now;
+    return;
+  }
+  ZoneWaits.clear();
+  IsZoneSilent = false;
+}
+
+void ReachabilityGate::discardWaits() {
+  AllWaits.clear();
+  ZoneWaits.clear();
 }
 
-void ReachabilityGate::update(Available Known, TimePoint OutdatedAt,
-                              TimePoint Now) {
-  std::erase_if(Unanswered, [Now](const auto &Entry) {
-    return Now - Entry.second.Last > OpeningLifetime;
-  });
-  if (Now <= OutdatedAt) {
+void ReachabilityGate::update(const Inputs &State, TimePoint Now) {
+  updateZone(State, Now);
+  AllWaits.expire(Now);
+  if (Now <= State.OutdatedAt) {
     UnreachableUntil = std::min(UnreachableUntil, Now);
     return;
   }
+  const Counts Needed{std::min(MinUpstreams, State.Known.Upstreams),
+                      std::min(MinServices, State.Known.Services)};
   // What was sent before a trial says nothing about the state after it.
-  if (!isReachable(Now))
-    Unanswered.clear();
-  else if (isEvidenceSufficient(Known, Now))
-    UnreachableUntil = nextTrial(OutdatedAt, Now);
+  if (Now < UnreachableUntil)
+    AllWaits.clear();
+  else if (State.Known.Upstreams > 0 &&
+           AllWaits.isSilent(Needed, MinSilence, Now))
+    UnreachableUntil = nextTrial(State.OutdatedAt, Now);
 }
 
-bool ReachabilityGate::isEvidenceSufficient(Available Known,
-                                            TimePoint Now) const {
-  size_t Upstreams = 0;
-  std::set<std::string_view> Services;
-  TimePoint Earliest = Now;
-  for (const auto &[Id, Entry] : Unanswered) {
-    if (Now - Entry.First < MinAnswerTime)
-      continue;
-    ++Upstreams;
-    Services.insert(Entry.Service);
-    Earliest = std::min(Earliest, Entry.First);
+// A zone whose upstreams are all silent has nothing to offer its clients, and
+// if it is cut off as well, they lose the upstreams of other zones too. Answers
+// from other zones show that the fault is not in this instance's own path.
+void ReachabilityGate::updateZone(const Inputs &State, TimePoint Now) {
+  ZoneWaits.expire(Now);
+  if (IsZoneSilent) {
+    ZoneWaits.clear();
+    // Without registered upstreams in the zone, only a new one is a reason to
+    // try again.
+    const bool IsTrialDue = State.KnownInZone.Upstreams > 0 &&
+                            Now - ZoneSilentSince >= FirstTrialDelay;
+    if (IsTrialDue || State.LastStartInZone > ZoneSilentSince)
+      IsZoneSilent = false;
+    return;
   }
-  return Known.Upstreams > 0 && Now - Earliest >= MinSilence &&
-         Upstreams >= std::min(MinUpstreams, Known.Upstreams) &&
-         Services.size() >= std::min(MinServices, Known.Services);
+  const Counts Needed{std::min(MinSilentInZone, State.KnownInZone.Upstreams),
+                      std::min(MinServices, State.KnownInZone.Services)};
+  if (State.KnownInZone.Upstreams < MinUpstreams ||
+      Now - LastAnswerFromOtherZone > MinZoneSilence ||
+      !ZoneWaits.isSilent(Needed, MinZoneSilence, Now))
+    return;
+  IsZoneSilent = true;
+  ZoneSilentSince = Now;
 }
 
 // Routers send clients to other zones only while no instance of the zone is
--- a/src/reachability_gate.h
+++ b/src/reachability_gate.h
@@ -1,55 +1,70 @@
 #pragma once
 
 #include <string>
-#include <unordered_map>
 
 #include "types.h"
+#include "unanswered_exchanges.h"
 
 namespace indigopoint {
 
-/// Decides whether an instance reaches any upstream. An instance that reaches
-/// none, and whose store data is outdated, reports itself as not ready, so that
-/// routers send its clients elsewhere.
+/// Decides whether an instance reaches any upstream, and whether those of its
+/// own zone still answer. An instance reports itself as not ready, so that
+/// routers send its clients to other zones, if
+/// - it reaches no upstream and its store data is outdated, or
+/// - all upstreams of its zone are silent while those of other zones answer.
 class ReachabilityGate {
 public:
-  /// Called when an opening packet is forwarded to an upstream.
-  void recordOpening(const std::string &Service, UpstreamId Id, TimePoint Now);
+  using Counts = UnansweredExchanges::Counts;
+
+  /// \p LeavesSilentZone switches the second rule on.
+  explicit ReachabilityGate(bool LeavesSilentZone = true)
+      : LeavesSilentZone(LeavesSilentZone) {}
+
+  /// Called when an opening packet or a request is sent to an upstream.
+  void recordSent(const std::string &Service, UpstreamId Id, bool IsInOwnZone,
+                  TimePoint Now);
 
   /// Called when any upstream has answered.
-  void recordAnswer(TimePoint Now);
+  void recordAnswer(bool IsInOwnZone, TimePoint Now);
 
   /// Called after a pause of the process: answers may have been missed.
-  void discardOpenings() { Unanswered.clear(); }
+  void discardWaits();
 
-  /// The upstreams that take new flows, and their services.
-  struct Available {
-    size_t Upstreams = 0;
-    size_t Services = 0;
+  struct Inputs {
+    /// The upstreams that take new flows, and their services.
+    Counts Known;
+    /// Those of the own zone.
+    Counts KnownInZone;
+    /// From when on the store data is outdated; later than now while the store
+    /// is reachable.
+    TimePoint OutdatedAt{};
+    /// When an upstream of the own zone last registered or started again.
+    TimePoint LastStartInZone{};
   };
 
-  /// Decides anew; called several times a second. The store data is outdated
-  /// from \p OutdatedAt on, which is later than now while the store is
-  /// reachable.
-  void update(Available Known, TimePoint OutdatedAt, TimePoint Now);
+  /// Decides anew; called several times a second.
+  void update(const Inputs &State, TimePoint Now);
 
-  /// False while no upstream is reachable and routers should send the clients
-  /// elsewhere.
-  bool isReachable(TimePoint Now) const { return Now >= UnreachableUntil; }
+  /// False while routers should send the clients elsewhere.
+  bool isReachable(TimePoint Now) const {
+    return Now >= UnreachableUntil && !(LeavesSilentZone && IsZoneSilent);
+  }
 
-private:
-  /// Openings at one upstream since the last answer from any upstream.
-  struct Openings {
-    std::string Service;
-    TimePoint First{};
-    TimePoint Last{};
-  };
+  /// Whether the upstreams of the own zone are silent while others answer.
+  bool isZoneSilent() const { return IsZoneSilent; }
 
-  bool isEvidenceSufficient(Available Known, TimePoint Now) const;
+private:
+  void updateZone(const Inputs &State, TimePoint Now);
   static TimePoint nextTrial(TimePoint OutdatedAt, TimePoint Now);
 
-  std::unordered_map<UpstreamId, Openings> Unanswered;
+  bool LeavesSilentZone;
+  UnansweredExchanges AllWaits;
+  UnansweredExchanges ZoneWaits;
   /// Not after the current time while upstreams are reachable.
   TimePoint UnreachableUntil{};
+  bool IsZoneSilent = false;
+  TimePoint ZoneSilentSince{};
+  TimePoint LastAnswerFromOtherZone{};
 };
 
 } // namespace indigopoint
--- a/src/steered_flow_table.cpp
+++ b/src/steered_flow_table.cpp
@@ -25,6 +25,11 @@
   return &Flows[Flow];
 }
 
+void SteeredFlowTable::forEach(const Hook &OnFlow) {
+  for (auto &[Address, Flow] : Flows)
+    OnFlow(Address, Flow);
+}
+
 void SteeredFlowTable::sweep(TimePoint Now, Duration IdleTimeout,
                              const Hook &OnRemove) {
   for (auto It = Flows.begin(); It != Flows.end();) {
--- a/src/steered_flow_table.h
+++ b/src/steered_flow_table.h
@@ -75,6 +75,9 @@
 
   void erase(const FlowAddress &Flow) { Flows.erase(Flow); }
 
+  /// Calls \p OnFlow for each flow.
+  void forEach(const Hook &OnFlow);
+
   /// Removes closed flows, and flows without packets for longer than
   /// \p IdleTimeout. Iterates over all flows. \p OnRemove is called for each
   /// flow before its removal.
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -63,6 +63,9 @@
   Entry.Registration = Registration;
   Entry.State = NewState;
   Entry.WarmupEnd = Now + Registration.WarmupLeft;
+  if (Result == Change::Added || Result == Change::Restarted ||
+      Result == Change::RegisteredAgain)
+    Entry.RegisteredAt = Now;
   addToIndexes(Entry);
   return Result;
 }
@@ -147,18 +150,48 @@
          !Evacuations.contains(Target.Registration.Zone);
 }
 
-ReachabilityGate::Available UpstreamRegistry::available() const {
-  ReachabilityGate::Available Out;
+UnansweredExchanges::Counts UpstreamRegistry::countAvailable(
+    const std::function<bool(const Upstream &)> &IsCounted) const {
+  UnansweredExchanges::Counts Out;
   for (const auto &[Service, Members] : Services) {
     const auto Count = static_cast<size_t>(std::count_if(
-        Members.begin(), Members.end(),
-        [this](const Upstream *Member) { return takesNewFlows(*Member); }));
+        Members.begin(), Members.end(), [&](const Upstream *Member) {
+          return takesNewFlows(*Member) && IsCounted(*Member);
+        }));
     Out.Upstreams += Count;
     Out.Services += Count > 0 ? 1 : 0;
   }
   return Out;
 }
 
+UnansweredExchanges::Counts UpstreamRegistry::available() const {
+  return countAvailable([](const Upstream &) { return true; });
+}
+
+UnansweredExchanges::Counts
+UpstreamRegistry::availableIn(const std::string &Zone) const {
+  return countAvailable([&Zone](const Upstream &Member) {
+    return Member.Registration.Zone == Zone;
+  });
+}
+
+TimePoint UpstreamRegistry::lastStartIn(const std::string &Zone) const {
+  TimePoint Latest{};
+  for (const auto &[Id, Entry] : Upstreams)
+    if (Entry.Registration.Zone == Zone)
+      Latest = std::max(Latest, Entry.RegisteredAt);
+  return Latest;
+}
+
+std::vector<Upstream *>
+UpstreamRegistry::upstreamsOfZone(const std::string &Zone) {
+  std::vector<Upstream *> Out;
+  for (auto &[Id, Entry] : Upstreams)
+    if (Entry.Registration.Zone == Zone)
+      Out.push_back(&Entry);
+  return Out;
+}
+
 bool UpstreamRegistry::isPresumedStopped(const Upstream &Target) const {
   return Target.State == UpstreamState::Unregistered &&
          LastStoreSync - Target.UnregisteredAt >= ReRegistrationTime &&
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -9,11 +9,11 @@
 #include "evacuation_table.h"
 #include "exchange_tracker.h"
 #include "packet.h"
-#include "reachability_gate.h"
 #include "reachability_tracker.h"
 #include "response_time_tracker.h"
 #include "responsiveness_tracker.h"
 #include "types.h"
+#include "unanswered_exchanges.h"
 
 namespace indigopoint {
 
@@ -53,6 +53,8 @@
   /// Revision of the registration store at which the registration was created.
   uint64_t CreatedRevision = 0;
   TimePoint WarmupEnd{};
+  /// When this instance learned that the upstream registered or restarted.
+  TimePoint RegisteredAt{};
   TimePoint UnregisteredAt{};
   /// Number of open flows that this instance sends to the upstream. Written by
   /// flow steering.
@@ -146,7 +148,16 @@
   bool takesNewFlows(const Upstream &Target) const;
 
   /// The upstreams that take new flows, and their services.
-  ReachabilityGate::Available available() const;
+  UnansweredExchanges::Counts available() const;
+
+  /// Those in a zone.
+  UnansweredExchanges::Counts availableIn(const std::string &Zone) const;
+
+  /// When an upstream of the zone last registered or restarted.
+  TimePoint lastStartIn(const std::string &Zone) const;
+
+  /// All upstreams of a zone, in any state.
+  std::vector<Upstream *> upstreamsOfZone(const std::string &Zone);
 
   /// All upstreams of a service, in any state.
   const std::vector<Upstream *> &
@@ -164,6 +175,8 @@
   size_t size() const { return Upstreams.size(); }
 
 private:
+  UnansweredExchanges::Counts
+  countAvailable(const std::function<bool(const Upstream &)> &IsCounted) const;
   void addToIndexes(Upstream &Target);
   void removeFromIndexes(Upstream &Target);
 
--- a/tests/reachability_gate_test.cpp
+++ b/tests/reachability_gate_test.cpp
@@ -35,7 +35,7 @@
          TimeSource.advance(Step)) {
       if (IsStoreUp)
         ConfirmedAt = TimeSource.Now;
-      Gate.update(Known, ConfirmedAt + MaxStoreAge, TimeSource.Now);
+      Gate.update(inputs(), TimeSource.Now);
       if (!Gate.isReachable(TimeSource.Now)) {
         Unreachable += Step;
         continue;
@@ -43,16 +43,20 @@
       if (Targets.empty())
         continue;
       const uint64_t Id = Targets[Turn++ % Targets.size()];
-      Gate.recordOpening(serviceOf(Id), UpstreamId(Id), TimeSource.Now);
+      Gate.recordSent(serviceOf(Id), UpstreamId(Id), false, TimeSource.Now);
       if (Answers(Id))
-        Gate.recordAnswer(TimeSource.Now);
+        Gate.recordAnswer(false, TimeSource.Now);
     }
     return Unreachable;
   }
 
   ManualClock TimeSource;
   ReachabilityGate Gate;
-  ReachabilityGate::Available Known{6, 2};
+  ReachabilityGate::Inputs inputs() const {
+    return {Known, {}, ConfirmedAt + MaxStoreAge, {}};
+  }
+
+  ReachabilityGate::Counts Known{6, 2};
   TimePoint ConfirmedAt = TimeSource.Now;
   bool IsStoreUp = true;
   std::vector<uint64_t> Targets = {1, 5, 2, 6, 3, 4};
@@ -125,9 +129,9 @@
   run(minutes(1));
   for (int Burst = 0; Burst < 100; ++Burst) {
     for (const uint64_t Id : {1, 2, 5, 6})
-      Gate.recordOpening(serviceOf(Id), UpstreamId(Id), TimeSource.Now);
+      Gate.recordSent(serviceOf(Id), UpstreamId(Id), false, TimeSource.Now);
     EXPECT_EQ(run(milliseconds(150)), Duration());
-    Gate.recordAnswer(TimeSource.Now);
+    Gate.recordAnswer(false, TimeSource.Now);
     EXPECT_EQ(run(seconds(3)), Duration());
   }
 }
@@ -177,7 +181,7 @@
   Answers = never;
   run(seconds(7));
   ASSERT_FALSE(Gate.isReachable(TimeSource.Now));
-  Gate.recordAnswer(TimeSource.Now);
+  Gate.recordAnswer(false, TimeSource.Now);
   EXPECT_TRUE(Gate.isReachable(TimeSource.Now));
   Answers = [](uint64_t) { return true; };
   EXPECT_EQ(run(minutes(1)), Duration());
@@ -222,9 +226,9 @@
   for (const TimePoint End = TimeSource.Now + seconds(40); TimeSource.Now < End;
        TimeSource.advance(Step)) {
     for (const uint64_t Id : Targets)
-      Second.recordOpening(serviceOf(Id), UpstreamId(Id), TimeSource.Now);
+      Second.recordSent(serviceOf(Id), UpstreamId(Id), false, TimeSource.Now);
     const bool WasReachable = Second.isReachable(TimeSource.Now - Step);
-    Second.update(Known, ConfirmedAt + MaxStoreAge, TimeSource.Now);
+    Second.update(inputs(), TimeSource.Now);
     if (!WasReachable && Second.isReachable(TimeSource.Now) &&
         SecondTrial == TimePoint())
       SecondTrial = TimeSource.Now;
@@ -241,7 +245,7 @@
   Answers = never;
   run(milliseconds(300));
   TimeSource.advance(milliseconds(1500));
-  Gate.discardOpenings();
+  Gate.discardWaits();
   EXPECT_EQ(run(milliseconds(500)), Duration());
 }
 
@@ -262,7 +266,7 @@
       TimeSource.advance(milliseconds(200U << Copy));
     }
     ++Port;
-    Gate.update(Upstreams.available(), ConfirmedAt + MaxStoreAge,
+    Gate.update({Upstreams.available(), {}, ConfirmedAt + MaxStoreAge, {}},
                 TimeSource.now());
     return Gate.isReachable(TimeSource.now());
   }
