Reset idle flows of stopped upstreams and share failed checks

Their clients send the next request to the dark upstream, and one that is not idempotent is lost. Each instance learned of the upstream only from a lost request of its own.

Ruled out: placement (new flows avoid the upstreams within a second), the store (its word comes after 3.6 s).

Two instances must agree, and a later answer outweighs them.

--- a/src/exchange_monitor.cpp
+++ b/src/exchange_monitor.cpp
@@ -16,6 +16,9 @@
 // that again.
 constexpr int UnusualRatio = 4;
 
+// One instance may have lost only its own path to the upstream.
+constexpr size_t MinStopVotes = 2;
+
 } // namespace
 
 Duration ExchangeMonitor::minEvidenceAge(const FlowAddress &Address) const {
@@ -148,6 +151,11 @@
     applyPeerEvidence(Service, Now);
 }
 
+bool ExchangeMonitor::hasStopped(const Upstream &Target, TimePoint Now) const {
+  const size_t OwnVote = Target.Reachability.isSuspect(Now) ? 1 : 0;
+  return Peers.countStopReports(Target, Now) + OwnVote >= MinStopVotes;
+}
+
 void ExchangeMonitor::applyPeerEvidence(const std::string &Service,
                                         TimePoint Now) {
   for (const Upstream *Target :
--- a/src/exchange_monitor.h
+++ b/src/exchange_monitor.h
@@ -58,6 +58,10 @@
 
   void recordPeerEvidence(const PeerReport &Report, TimePoint Now);
 
+  /// Whether enough instances found that the upstream has stopped. The doubts
+  /// of this instance count as those of one.
+  bool hasStopped(const Upstream &Target, TimePoint Now) const;
+
   /// Updates the effect of reported evidence on the upstreams of a service.
   void applyPeerEvidence(const std::string &Service, TimePoint Now);
 
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -58,8 +58,12 @@
   if (Target != nullptr &&
       (IsAccepting || Now - LastAnswerFromAnyUpstream <= RecentAnswerWindow))
     Target->Reachability.recordCheckResult(IsAccepting, Now);
-  if (Target != nullptr && Opts.Checks.ResetWaitingFlows &&
-      Target->Reachability.isDead(Now))
+  if (Target == nullptr || !Target->Reachability.isDead(Now))
+    return;
+  HasNewDeadUpstream = true;
+  if (Opts.Checks.ShareFailures)
+    FlowHooks.OnStopped(*Target);
+  if (Opts.Checks.ResetWaitingFlows)
     resetWaitingFlows(*Target);
 }
 
@@ -94,15 +98,11 @@
 // The client of an idle flow sends its next request to a silent upstream unless
 // the flow is reset before. A waiting request that is not idempotent is left
 // alone, since its client would not send it again.
-void FlowSteering::leaveSilentZone() {
-  const TimePoint Now = TimeSource.now();
-  for (Upstream *Silent : Upstreams.upstreamsOfZone(Opts.Zone))
-    Silent->Reachability.recordOpenTimeout(Now);
-  if (!Opts.Checks.ResetFlowsOfSilentZone)
-    return;
+void FlowSteering::resetFlowsOf(
+    const std::function<bool(const Upstream &)> &IsAffected) {
   Flows.forEach([&](const FlowAddress &Address, SteeredFlow &Flow) {
     Upstream *Target = Upstreams.find(Flow.Upstream);
-    if (Target == nullptr || Target->Registration.Zone != Opts.Zone ||
+    if (Target == nullptr || !IsAffected(*Target) ||
         Flow.CurrentPhase != SteeredFlow::Phase::Open)
       return;
     const bool IsIdle = !Flow.RequestSentAt;
@@ -111,6 +111,37 @@
   });
 }
 
+void FlowSteering::resetFlowsOfDeadUpstreams() {
+  if (!std::exchange(HasNewDeadUpstream, false) || !Opts.Checks.ResetIdleFlows)
+    return;
+  resetFlowsOf([Now = TimeSource.now()](const Upstream &Target) {
+    return Target.Reachability.isDead(Now);
+  });
+}
+
+void FlowSteering::leaveSilentZone() {
+  const TimePoint Now = TimeSource.now();
+  for (Upstream *Silent : Upstreams.upstreamsOfZone(Opts.Zone))
+    Silent->Reachability.recordOpenTimeout(Now);
+  if (Opts.Checks.ResetFlowsOfSilentZone)
+    resetFlowsOf([this](const Upstream &Target) {
+      return Target.Registration.Zone == Opts.Zone;
+    });
+}
+
+void FlowSteering::recordPeerEvidence(const PeerReport &Report) {
+  const TimePoint Now = TimeSource.now();
+  Exchanges.recordPeerEvidence(Report, Now);
+  for (const UpstreamEvidence &Item : Report.Evidence) {
+    Upstream *Target =
+        Item.HasStopped ? Upstreams.find(Item.Upstream) : nullptr;
+    if (Target == nullptr || !Exchanges.hasStopped(*Target, Now))
+      continue;
+    Target->Reachability.recordPeerVerdict(Now);
+    HasNewDeadUpstream = true;
+  }
+}
+
 SteeringDecision FlowSteering::decide(const PacketHeader &Packet) {
   // Without a configuration the packet may belong to an open flow of a valid
   // route, so it must not be reset.
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -60,6 +60,9 @@
     /// unresponsive, for the other instances of its zone.
     std::function<void(const Upstream &)> OnUnresponsive =
         [](const Upstream &) {};
+    /// Called when a check of this instance found that an upstream has stopped,
+    /// for the other instances of its zone.
+    std::function<void(const Upstream &)> OnStopped = [](const Upstream &) {};
     /// Called when an upstream becomes unresponsive by evidence that other
     /// instances reported.
     std::function<void(const Upstream &)> OnReportedUnresponsive =
@@ -85,9 +88,11 @@
   void recordCheckResult(UpstreamId Id, bool IsAccepting);
 
   /// Processes evidence that another instance of the zone reported.
-  void recordPeerEvidence(const PeerReport &Report) {
-    Exchanges.recordPeerEvidence(Report, TimeSource.now());
-  }
+  void recordPeerEvidence(const PeerReport &Report);
+
+  /// Resets the flows of upstreams that were found dead since the last call, if
+  /// their clients lose nothing by it. Iterates over all flows if there is one.
+  void resetFlowsOfDeadUpstreams();
 
   /// Called when all upstreams of the own zone have become silent: avoids those
   /// of which no answer arrives meanwhile, and resets the flows that lose
@@ -137,6 +142,9 @@
   /// Whether a flow may be reset although its upstream may only be silent.
   bool mayResetOnSuspicion(const FlowAddress &Flow) const;
   void requestCheckIfDue(Upstream &Target);
+  /// Resets the open flows of some upstreams that are idle or whose requests
+  /// are idempotent.
+  void resetFlowsOf(const std::function<bool(const Upstream &)> &IsAffected);
   /// Resets an open flow that sent no packet now.
   void resetFlow(const FlowAddress &Address, SteeredFlow &Flow,
                  Upstream &Target);
@@ -185,6 +193,8 @@
   /// Flows whose clients retransmit, by upstream. May also hold flows that were
   /// answered or closed since.
   std::multimap<UpstreamId, FlowAddress> RetransmittingFlows;
+  /// Whether an upstream was found dead whose flows may still be open.
+  bool HasNewDeadUpstream = false;
   /// Time of the most recent answer from any upstream.
   TimePoint LastAnswerFromAnyUpstream{};
   /// Moving average of the time from an opening packet to the client's next
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -145,9 +145,13 @@
                     },
                 .OnUnresponsive =
                     [this](const Upstream &Target) {
-                      Reports.addEvidence(Target);
+                      Reports.addEvidence(Target, false);
                       logUnresponsive(Target, "own");
                     },
+                .OnStopped =
+                    [this](const Upstream &Target) {
+                      Reports.addEvidence(Target, true);
+                    },
                 .OnReportedUnresponsive =
                     [this](const Upstream &Target) {
                       logUnresponsive(Target, "reported");
@@ -378,6 +382,8 @@
   Upstreams.recordStoreSync(Follower.sync().confirmedAt());
   UpdateApplier.applyDue();
   updateGate();
+  Steering.resetFlowsOfDeadUpstreams();
+  DataSocket.flush();
   if (TimeSource.now() - LastExpiry >= ExpiryPeriod) {
     LastExpiry = TimeSource.now();
     Steering.sweep();
--- a/src/gen/protocol_types.cpp
+++ b/src/gen/protocol_types.cpp
@@ -2347,11 +2347,16 @@
   this->age = val;
 }
 
+void ReportedEvidence::__set_hasStopped(const bool val) {
+  this->hasStopped = val;
+}
+
 void swap(ReportedEvidence &a, ReportedEvidence &b) {
   using ::std::swap;
   swap(a.upstream, b.upstream);
   swap(a.startedAtMs, b.startedAtMs);
   swap(a.age, b.age);
+  swap(a.hasStopped, b.hasStopped);
   swap(a.__isset, b.__isset);
 }
 
@@ -2359,18 +2364,21 @@
   upstream = other212.upstream;
   startedAtMs = other212.startedAtMs;
   age = other212.age;
+  hasStopped = other212.hasStopped;
   __isset = other212.__isset;
 }
 ReportedEvidence::ReportedEvidence(ReportedEvidence&& other213) noexcept {
   upstream = other213.upstream;
   startedAtMs = other213.startedAtMs;
   age = other213.age;
+  hasStopped = other213.hasStopped;
   __isset = other213.__isset;
 }
 ReportedEvidence& ReportedEvidence::operator=(const ReportedEvidence& other214) noexcept {
   upstream = other214.upstream;
   startedAtMs = other214.startedAtMs;
   age = other214.age;
+  hasStopped = other214.hasStopped;
   __isset = other214.__isset;
   return *this;
 }
@@ -2378,6 +2386,7 @@
   upstream = other215.upstream;
   startedAtMs = other215.startedAtMs;
   age = other215.age;
+  hasStopped = other215.hasStopped;
   __isset = other215.__isset;
   return *this;
 }
--- a/src/gen/protocol_types.h
+++ b/src/gen/protocol_types.h
@@ -2585,8 +2585,9 @@
 std::ostream& operator<<(std::ostream& out, const PeerState& obj);
 
 typedef struct _ReportedEvidence__isset {
-  _ReportedEvidence__isset() : startedAtMs(false) {}
+  _ReportedEvidence__isset() : startedAtMs(false), hasStopped(true) {}
   bool startedAtMs :1;
+  bool hasStopped :1;
 } _ReportedEvidence__isset;
 
 class ReportedEvidence {
@@ -2599,13 +2600,15 @@
   ReportedEvidence() noexcept
                    : upstream(0),
                      startedAtMs(0),
-                     age(0) {
+                     age(0),
+                     hasStopped(false) {
   }
 
   virtual ~ReportedEvidence() noexcept;
   int64_t upstream;
   int64_t startedAtMs;
   int64_t age;
+  bool hasStopped;
 
   _ReportedEvidence__isset __isset;
 
@@ -2615,6 +2618,8 @@
 
   void __set_age(const int64_t val);
 
+  void __set_hasStopped(const bool val);
+
   bool operator == (const ReportedEvidence & rhs) const
   {
     if (!(upstream == rhs.upstream))
@@ -2623,6 +2628,8 @@
       return false;
     if (!(age == rhs.age))
       return false;
+    if (!(hasStopped == rhs.hasStopped))
+      return false;
     return true;
   }
   bool operator != (const ReportedEvidence &rhs) const {
--- a/src/gen/protocol_types.tcc
+++ b/src/gen/protocol_types.tcc
@@ -4009,6 +4009,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasStopped);
+          this->__isset.hasStopped = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4043,6 +4051,10 @@
   xfer += oprot->writeI64(this->age);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("hasStopped", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->hasStopped);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
--- a/src/peer_evidence.cpp
+++ b/src/peer_evidence.cpp
@@ -14,6 +14,9 @@
 
 constexpr Duration MaxLifetime = std::chrono::seconds(2);
 
+// An answer since the start of a connection check outweighs its failure.
+constexpr Duration MaxCheckTime = std::chrono::milliseconds(300);
+
 // If all instances believed evidence for the same time, they would try the
 // upstream at the same moment and overflow its queue. Therefore a few instances
 // try earlier, and the others hear of a failure before their turn.
@@ -79,14 +82,30 @@
       continue;
     Reports &Known = ReportsByUpstream[Item.Upstream];
     if (Known.StartedAtMs != Item.StartedAtMs)
-      Known = {Item.StartedAtMs, {}};
+      Known = {Item.StartedAtMs, {}, {}};
     TimePoint &Origin = Known.OriginBySender[Report.Sender];
     Origin = std::max(Origin, Now - Item.Age);
+    if (Item.HasStopped)
+      Known.StopBySender[Report.Sender] = Now - Item.Age;
     Services.insert(Target->Registration.Service);
   }
   return {Services.begin(), Services.end()};
 }
 
+size_t PeerEvidence::countStopReports(const Upstream &Target,
+                                      TimePoint Now) const {
+  const auto It = ReportsByUpstream.find(Target.Registration.Id);
+  if (It == ReportsByUpstream.end() ||
+      It->second.StartedAtMs != Target.Registration.StartedAtMs)
+    return 0;
+  const TimePoint LastAnswer = Target.Reachability.lastAnswer();
+  return std::count_if(It->second.StopBySender.begin(),
+                       It->second.StopBySender.end(), [&](const auto &Report) {
+                         return Now - Report.second <= MaxLifetime &&
+                                Report.second - MaxCheckTime > LastAnswer;
+                       });
+}
+
 PeerEvidence::Claim PeerEvidence::claimOf(Upstream &Target,
                                           TimePoint Now) const {
   Claim Out{&Target, 0, {}};
@@ -194,10 +213,13 @@
 }
 
 void PeerEvidence::expire(TimePoint Now) {
-  for (auto &[Id, Known] : ReportsByUpstream)
-    std::erase_if(Known.OriginBySender, [Now](const auto &Report) {
-      return Now - Report.second > ReporterMemory;
-    });
+  const auto IsOld = [Now](const auto &Report) {
+    return Now - Report.second > ReporterMemory;
+  };
+  for (auto &[Id, Known] : ReportsByUpstream) {
+    std::erase_if(Known.OriginBySender, IsOld);
+    std::erase_if(Known.StopBySender, IsOld);
+  }
   std::erase_if(ReportsByUpstream, [](const auto &Entry) {
     return Entry.second.OriginBySender.empty();
   });
--- a/src/peer_evidence.h
+++ b/src/peer_evidence.h
@@ -33,6 +33,10 @@
   std::vector<Upstream *>
   apply(const std::vector<Upstream *> &UpstreamsOfService, TimePoint Now);
 
+  /// How many other instances found lately that the upstream has stopped. An
+  /// answer to this instance since then outweighs them.
+  size_t countStopReports(const Upstream &Target, TimePoint Now) const;
+
   /// How long this instance believes evidence of an upstream. It differs
   /// between instances.
   Duration lifetimeFor(UpstreamId Target) const;
@@ -46,6 +50,8 @@
     int64_t StartedAtMs = 0;
     /// When each sender found its evidence.
     std::map<Endpoint, TimePoint> OriginBySender;
+    /// When each sender found that the upstream has stopped.
+    std::map<Endpoint, TimePoint> StopBySender;
   };
   struct SenderState {
     uint64_t Sequence = 0;
--- a/src/peer_report.h
+++ b/src/peer_report.h
@@ -16,6 +16,8 @@
   int64_t StartedAtMs = 0;
   /// Time since the evidence was found.
   Duration Age{};
+  /// Whether a connection check of the sender found that it has stopped.
+  bool HasStopped = false;
   bool operator==(const UpstreamEvidence &) const = default;
 };
 
--- a/src/peer_report_codec.cpp
+++ b/src/peer_report_codec.cpp
@@ -48,6 +48,7 @@
   Out.upstream = static_cast<int64_t>(Evidence.Upstream.value());
   Out.startedAtMs = Evidence.StartedAtMs;
   Out.age = Evidence.Age.count();
+  Out.hasStopped = Evidence.HasStopped;
   return Out;
 }
 
@@ -61,7 +62,7 @@
 
 UpstreamEvidence fromWire(const wire::ReportedEvidence &Evidence) {
   return {UpstreamId(static_cast<uint64_t>(Evidence.upstream)),
-          Evidence.startedAtMs, Duration(Evidence.age)};
+          Evidence.startedAtMs, Duration(Evidence.age), Evidence.hasStopped};
 }
 
 ServiceLoad fromWire(wire::ReportedLoad &Load) {
--- a/src/peer_reporter.cpp
+++ b/src/peer_reporter.cpp
@@ -114,12 +114,13 @@
   return {};
 }
 
-void PeerReporter::addEvidence(const Upstream &UnresponsiveUpstream) {
+void PeerReporter::addEvidence(const Upstream &UnresponsiveUpstream,
+                               bool HasStopped) {
   if (!PImpl->isEnabled())
     return;
   const UpstreamRegistration &Registration = UnresponsiveUpstream.Registration;
   PImpl->Scheduler.addEvidence(
-      {Registration.Id, Registration.StartedAtMs, Duration()});
+      {Registration.Id, Registration.StartedAtMs, Duration(), HasStopped});
   PImpl->schedule();
 }
 
--- a/src/peer_reporter.h
+++ b/src/peer_reporter.h
@@ -59,8 +59,9 @@
   /// empty text on success. Does nothing if reports are disabled.
   std::string open();
 
-  /// Reports that the upstream does not answer.
-  void addEvidence(const Upstream &UnresponsiveUpstream);
+  /// Reports that the upstream does not answer. \p HasStopped tells whether a
+  /// connection check failed.
+  void addEvidence(const Upstream &UnresponsiveUpstream, bool HasStopped);
 
   Counters counters() const;
 
--- a/src/policy_options.h
+++ b/src/policy_options.h
@@ -71,6 +71,11 @@
   /// Their clients get an answer sooner, but lose that of an upstream that was
   /// only silent.
   bool ResetNonIdempotentFlows = false;
+  /// Reset idle flows of a dead upstream, before their clients send the next
+  /// request.
+  bool ResetIdleFlows = true;
+  /// Tell the other instances of the zone of failed checks.
+  bool ShareFailures = true;
   /// Reset the flows of a zone whose upstreams are all silent, if their clients
   /// lose nothing by it.
   bool ResetFlowsOfSilentZone = true;
--- a/src/policy_settings.cpp
+++ b/src/policy_settings.cpp
@@ -48,6 +48,8 @@
   Reader.boolean("useReference", Out.UseReference);
   Reader.boolean("resetWaitingFlows", Out.ResetWaitingFlows);
   Reader.boolean("resetNonIdempotentFlows", Out.ResetNonIdempotentFlows);
+  Reader.boolean("resetIdleFlows", Out.ResetIdleFlows);
+  Reader.boolean("shareFailures", Out.ShareFailures);
   Reader.boolean("resetFlowsOfSilentZone", Out.ResetFlowsOfSilentZone);
 }
 
--- a/src/protocol.thrift
+++ b/src/protocol.thrift
@@ -396,6 +396,8 @@
   2: i64 startedAtMs
   /* Time since the evidence was found. */
   3: required i64 age
+  /* Whether a connection check found that the upstream has stopped. */
+  4: bool hasStopped = false
 }
 
 struct ReportedLoad {
--- a/src/reachability_tracker.h
+++ b/src/reachability_tracker.h
@@ -45,6 +45,11 @@
   /// Records whether a check found that the upstream accepts connections.
   void recordCheckResult(bool IsAccepting, TimePoint Now);
 
+  /// Records that other instances found that the upstream has stopped.
+  void recordPeerVerdict(TimePoint Now) {
+    DeadUntil = Now + Opts->FailedCheckLifetime;
+  }
+
   /// Whether new flows should go to other upstreams.
   bool isSuspect(TimePoint Now) const;
 
--- a/src/report_scheduler.cpp
+++ b/src/report_scheduler.cpp
@@ -75,14 +75,18 @@
 void ReportScheduler::addEvidence(const UpstreamEvidence &Evidence) {
   const TimePoint Now = TimeSource.now();
   dropOutdatedEvidence();
+  bool HasStopped = Evidence.HasStopped;
   std::erase_if(Pending, [&](const PendingEvidence &Entry) {
-    return Entry.Upstream == Evidence.Upstream;
+    const bool IsSame = Entry.Upstream == Evidence.Upstream;
+    HasStopped |= IsSame && Entry.HasStopped;
+    return IsSame;
   });
   // The oldest entry is the first one.
   if (Pending.size() == MaxPendingEvidence)
     Pending.erase(Pending.begin());
   const PendingEvidence Added{Evidence.Upstream, Evidence.StartedAtMs,
-                              Now - std::max(Evidence.Age, Duration())};
+                              Now - std::max(Evidence.Age, Duration()),
+                              HasStopped};
   Pending.insert(std::upper_bound(Pending.begin(), Pending.end(), Added,
                                   [](const auto &A, const auto &B) {
                                     return A.FoundAt < B.FoundAt;
@@ -130,7 +134,7 @@
   while (!Pending.empty() && Out.size() < MaxEvidencePerReport) {
     const PendingEvidence &Newest = Pending.back();
     Out.push_back({Newest.Upstream, Newest.StartedAtMs,
-                   TimeSource.now() - Newest.FoundAt});
+                   TimeSource.now() - Newest.FoundAt, Newest.HasStopped});
     Pending.pop_back();
   }
   return Out;
--- a/src/report_scheduler.h
+++ b/src/report_scheduler.h
@@ -64,6 +64,7 @@
     UpstreamId Upstream;
     int64_t StartedAtMs = 0;
     TimePoint FoundAt{};
+    bool HasStopped = false;
   };
 
   /// What is known of an instance that sent reports.
--- a/tests/peer_reporter_test.cpp
+++ b/tests/peer_reporter_test.cpp
@@ -64,12 +64,13 @@
   runFor(Loop, std::chrono::milliseconds(20));
   TimeSource.refresh();
   const TimePoint AddedAt = TimeSource.now();
-  First.addEvidence(unresponsiveUpstream(7));
+  First.addEvidence(unresponsiveUpstream(7), true);
   ASSERT_TRUE(runUntil(Loop, [&] { return !Received.empty(); }));
   EXPECT_LT(SteadyClock().now() - AddedAt, std::chrono::milliseconds(500));
   ASSERT_EQ(Received[0].Evidence.size(), 1U);
   EXPECT_EQ(Received[0].Evidence[0].Upstream, UpstreamId(7));
   EXPECT_EQ(Received[0].Evidence[0].StartedAtMs, 1000);
+  EXPECT_TRUE(Received[0].Evidence[0].HasStopped);
   EXPECT_EQ(Received[0].Sender, (Endpoint{FirstIp, PeerPort}));
   EXPECT_EQ(First.counters().Sent, 1U);
   EXPECT_EQ(Second.counters().Received, 1U);
@@ -123,7 +124,7 @@
                          }});
   ASSERT_EQ(Disabled.open(), "");
   ASSERT_EQ(Second.open(), "");
-  Disabled.addEvidence(unresponsiveUpstream(7));
+  Disabled.addEvidence(unresponsiveUpstream(7), true);
   runFor(Loop, std::chrono::milliseconds(700));
   EXPECT_EQ(Disabled.counters().Sent, 0U);
   EXPECT_TRUE(Received.empty());
