--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -13,7 +13,6 @@
 #include "queueing.h"
 #include "steering.h"
 #include "strategy_measure.h"
-#include "work_placement.h"
 
 namespace {
 
@@ -34,9 +33,7 @@
       {"queueing", "queueing targets missed", measure::measureQueueing},
       {"imbalance", "imbalance targets missed", measure::measureImbalance},
       {"steering", "steering runs with flows between zones",
-       measure::measureSteering},
-      {"work-placement", "placement targets missed",
-       measure::measureWorkPlacement}};
+       measure::measureSteering}};
   return Parts;
 }
 
@@ -75,16 +72,14 @@
                 << "; name a writable file with --output\n";
       return 73;
     }
-    // Missed targets of queueing, imbalance and work-placement are printed but
-    // do not fail the command. Violated guarantees, failed runs and late
-    // changes do.
+    // Missed targets of queueing and imbalance are printed but do not fail the
+    // command. Violated guarantees, failed runs and late changes do.
     int Failures = 0;
     for (const Part &CurrentPart : allParts()) {
       if (OnlyPart.isSet() && OnlyPart.getValue() != CurrentPart.Name)
         continue;
       const int PartFailures = runPart(CurrentPart, JsonLines);
-      if (CurrentPart.Name != "queueing" && CurrentPart.Name != "imbalance" &&
-          CurrentPart.Name != "work-placement")
+      if (CurrentPart.Name != "queueing" && CurrentPart.Name != "imbalance")
         Failures += PartFailures;
     }
     return Failures == 0 ? 0 : 1;
--- a/src/balancing_policy.cpp
+++ b/src/balancing_policy.cpp
@@ -18,10 +18,6 @@
 // An upstream that answered within this time is probably running.
 constexpr Duration RecentAnswerWindow = std::chrono::seconds(2);
 
-// Smaller differences in reported work, in mean requests, are ignored.
-// Otherwise reports of exchanges that have ended since would decide.
-constexpr double MinReportedDifference = 0.5;
-
 double slotsOf(const Upstream &Target, TimePoint Now, double WarmupShare) {
   return Target.Registration.Slots * (Target.WarmupEnd > Now ? WarmupShare : 1);
 }
@@ -44,24 +40,10 @@
   return Now - Target.Reachability.lastAnswer() <= RecentAnswerWindow;
 }
 
-UpstreamProcess processOf(const Upstream &Target) {
-  return {Target.Registration.Id, Target.Registration.StartedAtMs};
-}
-
 // Candidates are compared by this; the last member is the hash that breaks
 // ties.
 using CandidateScore =
-    std::tuple<bool, bool, bool, bool, bool, double, double, uint64_t>;
-
-struct ScoredUpstream {
-  Upstream *Target = nullptr;
-  CandidateScore Score;
-};
-
-bool differOnlyByHash(const CandidateScore &A, CandidateScore B) {
-  std::get<uint64_t>(B) = std::get<uint64_t>(A);
-  return A == B;
-}
+    std::tuple<bool, bool, bool, bool, bool, double, uint64_t>;
 
 class ZoneAwareLeastFlows {
 public:
@@ -89,15 +71,6 @@
   /// The load by which upstreams of equal rank are compared.
   double loadOf(const Upstream &Candidate, std::optional<Duration> Usual,
                 TimePoint Now) const;
-  /// The remaining work per slot that this instance knows of, after adding the
-  /// expected cost of the flow; 0 if it does not count.
-  double workOf(const Upstream &Candidate, const NewFlow &Flow,
-                TimePoint Now) const;
-  /// Whether \p SecondBest is preferred to \p Best because peers reported less
-  /// work for it.
-  bool hasLessReportedWork(const ScoredUpstream &SecondBest,
-                           const ScoredUpstream &Best, const NewFlow &Flow,
-                           TimePoint Now) const;
 
   std::string Zone;
   PlacementOptions Opts;
@@ -137,41 +110,6 @@
   return Flows * slowdownOf(Candidate, Usual, Now);
 }
 
-// The slowdown does not count, since the ages of the open exchanges already
-// tell a slow upstream, and an average of few answers may contain a rare long
-// one.
-double ZoneAwareLeastFlows::workOf(const Upstream &Candidate,
-                                   const NewFlow &Flow, TimePoint Now) const {
-  if (!Opts.CountRemainingWork || Flow.Work == nullptr)
-    return 0;
-  const auto Cost = Flow.Work->expectedCost(Flow.Address.ServiceAddress);
-  if (!Cost)
-    return 0;
-  return (Flow.Work->ownWork(processOf(Candidate), Now) + *Cost) /
-         slotsOf(Candidate, Now, Opts.WarmupShare);
-}
-
-bool ZoneAwareLeastFlows::hasLessReportedWork(const ScoredUpstream &SecondBest,
-                                              const ScoredUpstream &Best,
-                                              const NewFlow &Flow,
-                                              TimePoint Now) const {
-  if (!Opts.CountRemainingWork || Flow.Work == nullptr ||
-      !Flow.Work->expectedCost(Flow.Address.ServiceAddress) ||
-      SecondBest.Target == nullptr ||
-      !differOnlyByHash(Best.Score, SecondBest.Score))
-    return false;
-  const auto WorkPerSlot = [&](const Upstream &Target, double Additional) {
-    return (Flow.Work->reportedWork(processOf(Target), Now) + Additional) /
-           slotsOf(Target, Now, Opts.WarmupShare);
-  };
-  return WorkPerSlot(*SecondBest.Target, MinReportedDifference) <
-         WorkPerSlot(*Best.Target, 0);
-}
-
-// Instances with the same reports would all choose the upstream with the least
-// reported work. Therefore reports only decide between the two upstreams that
-// the hash of the flow prefers among those of equal score; the hash differs
-// from flow to flow.
 Upstream *ZoneAwareLeastFlows::choose(const std::vector<Upstream *> &Candidates,
                                       const NewFlow &Flow, TimePoint Now) {
   if (Candidates.empty())
@@ -192,8 +130,8 @@
   const std::optional<Duration> Usual =
       Opts.CountResponseTime ? medianResponseTime(Candidates, Now)
                              : std::nullopt;
-  ScoredUpstream Best;
-  ScoredUpstream SecondBest;
+  Upstream *Best = nullptr;
+  CandidateScore BestScore;
   for (Upstream *Candidate : Candidates) {
     const UpstreamRegistration &Registration = Candidate->Registration;
     const bool IsUnproven = NeedsProof && !hasAnsweredRecently(*Candidate, Now);
@@ -205,17 +143,14 @@
     const CandidateScore Score(
         Registration.Id == Flow.UpstreamToAvoid, isSuspect(*Candidate, Now),
         isUnresponsive(*Candidate, Now), LeaveZone ? IsInWrongZone : IsUnproven,
-        LeaveZone ? IsUnproven : IsInWrongZone, workOf(*Candidate, Flow, Now),
-        loadOf(*Candidate, Usual, Now),
+        LeaveZone ? IsUnproven : IsInWrongZone, loadOf(*Candidate, Usual, Now),
         rendezvousScore(Hash, Registration.Id.value()));
-    if (Best.Target == nullptr || Score < Best.Score) {
-      SecondBest = std::exchange(Best, {Candidate, Score});
-    } else if (SecondBest.Target == nullptr || Score < SecondBest.Score) {
-      SecondBest = {Candidate, Score};
+    if (Best == nullptr || Score < BestScore) {
+      Best = Candidate;
+      BestScore = Score;
     }
   }
-  return hasLessReportedWork(SecondBest, Best, Flow, Now) ? SecondBest.Target
-                                                          : Best.Target;
+  return Best;
 }
 
 } // namespace
--- a/src/balancing_policy.h
+++ b/src/balancing_policy.h
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include "policy_options.h"
-#include "remaining_work.h"
 #include "upstream_registry.h"
 
 namespace indigopoint {
@@ -21,9 +20,6 @@
   /// first one, upstreams that answered recently are preferred; after the
   /// second one, upstreams in another zone than that of the upstream to avoid.
   uint32_t UnansweredOpenings = 0;
-  /// What is known of the remaining work of the upstreams; null if it does not
-  /// count.
-  const RemainingWork *Work = nullptr;
 };
 
 /// Chooses one of the candidates for a new flow; null if there are none.
@@ -55,8 +51,6 @@
 /// zones. An upstream that answers more slowly than the others of its service
 /// counts with accordingly fewer slots. \p Opts can switch off each of these
 /// rules.
-/// With PlacementOptions::CountRemainingWork, the least work per slot comes
-/// before the fewest flows, once the cost of the flow's route is known.
 BalancingPolicy makeZoneAwareLeastFlowsPolicy(std::string Zone,
                                               PlacementOptions Opts = {});
 
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -34,7 +34,6 @@
 void FlowSteering::onOpenTimeout(const FlowAddress &Address,
                                  SteeredFlow &Flow) {
   clearPendingOpening(Flow);
-  endWork(Flow);
   Upstream *Target = Upstreams.find(Flow.Upstream);
   if (Target == nullptr)
     return;
@@ -209,8 +208,7 @@
                                                  UpstreamId UpstreamToAvoid) {
   const TimePoint Now = TimeSource.now();
   const RouteShare *Share = RouteTable::chooseShare(MatchedRoute, Packet.Flow);
-  const NewFlow FlowToOpen{Packet.Flow, UpstreamToAvoid, Packet.AckNumber,
-                           &Work};
+  const NewFlow FlowToOpen{Packet.Flow, UpstreamToAvoid, Packet.AckNumber};
   Upstream *Target =
       Share == nullptr ? nullptr : choose(Share->Service, FlowToOpen);
   if (Target == nullptr) {
@@ -228,8 +226,6 @@
     Flow = Flows.add(Packet.Flow);
   if (Flow != nullptr) {
     assign(*Flow, Target->Registration.Id);
-    // A client opens a flow in order to send a request.
-    startWork(*Flow, Packet.Flow.ServiceAddress, *Target);
     Flow->InitialSequence = Packet.Sequence;
     Flow->NextSequence = Packet.Sequence + 1;
     Flow->OpenedAt = Flow->LastSeen = Now;
@@ -425,7 +421,6 @@
                               Target.Registration.Id,
                               Target.Registration.Zone == Opts.Zone, Now);
       Exchanges.recordRequest(Packet.Flow, Flow, Target);
-      startWork(Flow, Packet.Flow.ServiceAddress, Target);
       const Route *MatchedRoute = Routes.find(Packet.Flow.ServiceAddress);
       Admission.startExchange(
           Packet.Flow, Flow, Target.Registration.Service,
@@ -452,14 +447,8 @@
 void FlowSteering::recordAnswer(const PacketHeader &Packet, SteeredFlow &Flow,
                                 Upstream &Target) {
   const TimePoint Now = TimeSource.now();
-  if (Flow.RequestSentAt && !Flow.HasRetransmitted) {
+  if (Flow.RequestSentAt && !Flow.HasRetransmitted)
     Target.ResponseTimes.record(Now - *Flow.RequestSentAt, Now);
-    if (Opts.Placement.CountRemainingWork)
-      Costs.record(Packet.Flow.ServiceAddress, Now - *Flow.RequestSentAt, Now);
-  }
-  // The answer to the opening precedes the first request.
-  if (Flow.RequestSentAt)
-    endWork(Flow);
   ExchangeMonitor::recordAnswer(Flow, Target, Now);
   Admission.recordAnswer(Flow, Target.Registration.Service);
   Flow.RequestSentAt.reset();
@@ -496,25 +485,9 @@
     Target->Reachability.recordOpeningEnd();
 }
 
-void FlowSteering::startWork(SteeredFlow &Flow, Endpoint RouteAddress,
-                             const Upstream &Target) {
-  if (!Opts.Placement.CountRemainingWork)
-    return;
-  endWork(Flow);
-  Flow.WorkId =
-      Work.start({Target.Registration.Id, Target.Registration.StartedAtMs},
-                 RouteAddress, TimeSource.now());
-}
-
-void FlowSteering::endWork(SteeredFlow &Flow) {
-  if (Flow.WorkId != 0)
-    Work.end(Flow.Upstream, std::exchange(Flow.WorkId, 0));
-}
-
 void FlowSteering::uncountFlow(SteeredFlow &Flow) {
   clearPendingOpening(Flow);
   Exchanges.end(Flow);
-  endWork(Flow);
   Upstream *OldUpstream = Upstreams.find(Flow.Upstream);
   if (OldUpstream != nullptr)
     Admission.endExchange(Flow, OldUpstream->Registration.Service);
@@ -546,7 +519,6 @@
   Admission.sweep(
       [this](const FlowAddress &Address) { return Flows.find(Address); });
   Warmups.expire(Now);
-  Work.expire(Now);
   std::erase_if(RetransmittingFlows, [this](const auto &Entry) {
     const SteeredFlow *Flow = Flows.find(Entry.second);
     return Flow == nullptr || !Flow->HasRetransmitted ||
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -170,11 +170,6 @@
   /// openings.
   void uncountFlow(SteeredFlow &Flow);
   void assign(SteeredFlow &Flow, UpstreamId NewId);
-  /// Counts a request of the flow as work of its upstream until endWork()
-  /// or the flow's next request.
-  void startWork(SteeredFlow &Flow, Endpoint RouteAddress,
-                 const Upstream &Target);
-  void endWork(SteeredFlow &Flow);
 
   Options Opts;
   const Clock &TimeSource;
@@ -183,8 +178,6 @@
   SteeringMetrics &Metrics;
   Hooks FlowHooks;
   WarmupLimiter Warmups;
-  CostModel Costs;
-  RemainingWork Work{Costs};
   FlowAdmission Admission;
   SteeredFlowTable Flows;
   ExchangeMonitor Exchanges;
--- a/src/policy_options.h
+++ b/src/policy_options.h
@@ -34,9 +34,6 @@
   bool AvoidRefusedUpstream = true;
   /// Prefer upstreams that are not unresponsive.
   bool AvoidUnresponsive = true;
-  /// Prefer the least remaining work of open exchanges per slot to the fewest
-  /// open flows. Off, because it reduces the p99 of response times too little.
-  bool CountRemainingWork = false;
   bool operator==(const PlacementOptions &) const = default;
 };
 
--- a/src/policy_settings.cpp
+++ b/src/policy_settings.cpp
@@ -30,7 +30,6 @@
   Reader.wholeNumber("maxOpeningsInZone", Out.MaxOpeningsInZone, MaxOpenings);
   Reader.boolean("avoidRefusedUpstream", Out.AvoidRefusedUpstream);
   Reader.boolean("avoidUnresponsive", Out.AvoidUnresponsive);
-  Reader.boolean("countRemainingWork", Out.CountRemainingWork);
 }
 
 void readReachability(SettingsReader &Reader, ReachabilityOptions &Out) {
--- a/src/steered_flow_table.h
+++ b/src/steered_flow_table.h
@@ -55,8 +55,6 @@
   /// From this time on, the end of the exchange without an answer means that
   /// the client's time limit has passed.
   TimePoint AbandonedFrom{};
-  /// The open exchange of the flow in RemainingWork; 0 if there is none.
-  uint64_t WorkId = 0;
   /// When data was last seen that the client had not sent before.
   TimePoint LastNewDataAt{};
 };
--- a/tests/slow_upstream_test.cpp
+++ b/tests/slow_upstream_test.cpp
@@ -214,16 +214,5 @@
   EXPECT_GE(Seen.InTime, Seen.Sent * 95 / 100);
 }
 
-// Guards against remaining work that hides a slow upstream: its open exchanges
-// must count more with their age.
-TEST(SlowUpstreamTest, NewFlowsGoToTheOtherUpstreamsByRemainingWork) {
-  PlacementOptions Opts;
-  Opts.CountRemainingWork = true;
-  const Outcomes Seen = SlowUpstreamLoad(Opts).run();
-  EXPECT_GT(Seen.Sent, 300);
-  EXPECT_EQ(Seen.Refused, 0);
-  EXPECT_GE(Seen.InTime, Seen.Sent * 95 / 100);
-}
-
 } // namespace
 } // namespace indigopoint
