Check tag collisions of the chosen upstream only

Cause: for each opening the tag of the flow was computed and looked up at every upstream of the service, and the settings of the service were looked up by name each time.

Change: candidates are filtered by state and limit; the tag is checked at the chosen upstream, and the next best one is chosen if it collides.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -268,25 +268,41 @@
                                              : UpstreamId();
 }
 
-// The upstream is unsuitable if the flow's tag at this upstream collides with
-// the tag at another one, since later packets would then go to that one.
+bool FlowSteering::mayOpenAt(const Upstream &Target, double WarmupRate) {
+  return Upstreams.takesNewFlows(Target) &&
+         Warmups.mayOpen(Target, WarmupRate, TimeSource.now());
+}
+
+// If the flow's tag at this upstream collides with the tag at another one,
+// later packets would go to that one.
+bool FlowSteering::isTagUnique(const Upstream &Target,
+                               const FlowAddress &Flow) {
+  return Upstreams.findByTag(Flow, tagOf(Flow, Target.Registration.Id)) ==
+         &Target;
+}
+
 bool FlowSteering::canAssignFlow(const Upstream &Target,
                                  const FlowAddress &Flow) {
-  const FlowTag Tag = tagOf(Flow, Target.Registration.Id);
   const ServiceSettings &Service = Routes.service(Target.Registration.Service);
-  return Upstreams.takesNewFlows(Target) &&
-         Warmups.mayOpen(Target, Service.WarmupRate, TimeSource.now()) &&
-         Upstreams.findByTag(Flow, Tag) == &Target;
+  return mayOpenAt(Target, Service.WarmupRate) && isTagUnique(Target, Flow);
 }
 
 Upstream *FlowSteering::choose(const std::string &Service,
                                const NewFlow &FlowToOpen) {
+  const double WarmupRate = Routes.service(Service).WarmupRate;
   std::vector<Upstream *> Candidates;
   for (Upstream *Candidate : Upstreams.upstreamsOfService(Service))
-    if (canAssignFlow(*Candidate, FlowToOpen.Address))
+    if (mayOpenAt(*Candidate, WarmupRate))
       Candidates.push_back(Candidate);
   Exchanges.applyPeerEvidence(Service, TimeSource.now());
-  return Opts.Policy(Candidates, FlowToOpen, TimeSource.now());
+  // Collisions of tags are rare, so only the choice is checked.
+  while (Upstream *Best =
+             Opts.Policy(Candidates, FlowToOpen, TimeSource.now())) {
+    if (isTagUnique(*Best, FlowToOpen.Address))
+      return Best;
+    std::erase(Candidates, Best);
+  }
+  return nullptr;
 }
 
 SteeringDecision FlowSteering::forwardOpening(SteeringReason Reason,
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -151,6 +151,10 @@
   /// Resets the flows of a dead upstream whose clients wait for an answer.
   void resetWaitingFlows(Upstream &DeadUpstream);
   Upstream *choose(const std::string &Service, const NewFlow &FlowToOpen);
+  /// Whether the upstream takes a new flow now, at a limit of \p WarmupRate
+  /// flows a second while it is cold.
+  bool mayOpenAt(const Upstream &Target, double WarmupRate);
+  bool isTagUnique(const Upstream &Target, const FlowAddress &Flow);
   bool canAssignFlow(const Upstream &Target, const FlowAddress &Flow);
   /// Forwards an opening packet and counts it for the limit of cold upstreams
   /// and for the reachability gate.
