Count upstreams that peers found stopped when a zone falls silent

Routers use all instances of a zone while fewer than half are ready, so the zone stayed in use until the cut ended.

Change: an upstream that two instances found stopped counts as one that does not answer.

--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -137,6 +137,9 @@
     if (Target == nullptr || !Exchanges.hasStopped(*Target, Now))
       continue;
     Target->Reachability.recordPeerVerdict(Now);
+    // Flows now avoid the upstream, so this instance finds no evidence of its
+    // own that its zone is silent.
+    recordWait(*Target);
     HasNewDeadUpstream = true;
   }
 }
@@ -308,13 +311,17 @@
 SteeringDecision FlowSteering::forwardOpening(SteeringReason Reason,
                                               Upstream &Target) {
   Warmups.recordOpening(Target, TimeSource.now());
-  if (Opts.Gate != nullptr)
-    Opts.Gate->recordSent(Target.Registration.Service, Target.Registration.Id,
-                          Target.Registration.Zone == Opts.Zone,
-                          TimeSource.now());
+  recordWait(Target);
   return forwardUnlessAddressReused(Reason, Target);
 }
 
+void FlowSteering::recordWait(const Upstream &Target) {
+  const UpstreamRegistration &Registration = Target.Registration;
+  if (Opts.Gate != nullptr)
+    Opts.Gate->recordSent(Registration.Service, Registration.Id,
+                          Registration.Zone == Opts.Zone, TimeSource.now());
+}
+
 SteeringDecision FlowSteering::steerLaterPacket(const PacketHeader &Packet,
                                                 SteeredFlow *Flow) {
   if (Routes.find(Packet.Flow.ServiceAddress) == nullptr) {
@@ -432,10 +439,7 @@
     Flow.LastNewDataAt = Now;
     if (!Flow.RequestSentAt) {
       Flow.RequestSentAt = Now;
-      if (Opts.Gate != nullptr)
-        Opts.Gate->recordSent(Target.Registration.Service,
-                              Target.Registration.Id,
-                              Target.Registration.Zone == Opts.Zone, Now);
+      recordWait(Target);
       Exchanges.recordRequest(Packet.Flow, Flow, Target);
       const Route *MatchedRoute = Routes.find(Packet.Flow.ServiceAddress);
       Admission.startExchange(
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -159,6 +159,8 @@
   /// Forwards an opening packet and counts it for the limit of cold upstreams
   /// and for the reachability gate.
   SteeringDecision forwardOpening(SteeringReason Reason, Upstream &Target);
+  /// Tells the reachability gate that the upstream has to answer.
+  void recordWait(const Upstream &Target);
   /// Updates the flow and its upstream's reachability from a packet after the
   /// opening. Returns whether the packet retransmits unacknowledged data.
   bool updateFlow(const PacketHeader &Packet, SteeredFlow &Flow,
--- a/src/reachability_gate.h
+++ b/src/reachability_gate.h
@@ -20,7 +20,8 @@
   explicit ReachabilityGate(bool LeavesSilentZone = true)
       : LeavesSilentZone(LeavesSilentZone) {}
 
-  /// Called when an opening packet or a request is sent to an upstream.
+  /// Called when an opening packet or a request is sent to an upstream, or when
+  /// other instances found that it has stopped.
   void recordSent(const std::string &Service, UpstreamId Id, bool IsInOwnZone,
                   TimePoint Now);
 
--- a/tests/reachability_gate_test.cpp
+++ b/tests/reachability_gate_test.cpp
@@ -298,5 +298,27 @@
   EXPECT_TRUE(Gate.isReachable(TimeSource.now()));
 }
 
+// Guards against one instance that keeps a silent zone in use: it learned of
+// the stopped upstreams from others, so none of its own flows waits for them.
+TEST_F(SteeredGateTest, CountsUpstreamsThatOthersFoundStopped) {
+  for (const uint32_t Sender : {1U, 2U}) {
+    PeerReport Report{{Sender, 7000}, "a", 1, {}, {}};
+    for (const uint64_t Id : {11, 12, 21})
+      Report.Evidence.push_back({UpstreamId(Id), 0, {}, true});
+    GatedSteering.recordPeerEvidence(Report);
+  }
+  TimeSource.advance(milliseconds(600));
+  const uint64_t Id = idOf(GatedSteering.steer(opening(1)));
+  EXPECT_EQ(Id, 13U);
+  TimeSource.advance(milliseconds(7));
+  GatedSteering.steer(data(1, Id));
+  Gate.update({Upstreams.available(),
+               Upstreams.availableIn("a"),
+               TimeSource.now() + MaxStoreAge,
+               {}},
+              TimeSource.now());
+  EXPECT_TRUE(Gate.isZoneSilent());
+}
+
 } // namespace
 } // namespace indigopoint
