Decode the stored configuration in one module

Change: ConfigAssembler names the next key and decodes its value for both. The readers keep what differs: roles, watches and back-off, or retries.

--- a/src/config_controller.cpp
+++ b/src/config_controller.cpp
@@ -170,8 +170,7 @@
 
 void ConfigController::onStoreAnswer(const StoreAnswer &Answer,
                                      ActionSink &Sink) {
-  std::optional<StoreReader::NewerConfig> ReadResult =
-      PImpl->Reader.onAnswer(Answer, Sink);
+  std::optional<NewerConfig> ReadResult = PImpl->Reader.onAnswer(Answer, Sink);
   if (ReadResult)
     std::visit(
         [&](auto &Config) {
--- a/src/config_publisher.cpp
+++ b/src/config_publisher.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "config_assembler.h"
 #include "config_codec.h"
 
 namespace indigopoint {
@@ -38,6 +39,14 @@
   return ConfigVersion(Version);
 }
 
+// The assembler has checked that a change follows the current version.
+void adopt(NewerConfig Newer, Configuration &Out) {
+  if (auto *Snapshot = std::get_if<Configuration>(&Newer))
+    Out = std::move(*Snapshot);
+  else
+    applyChange(std::get<ConfigChange>(Newer), Out);
+}
+
 } // namespace
 
 std::string_view nameOf(PublishStatus Value) {
@@ -72,65 +81,34 @@
 
 PublishStatus ConfigPublisher::readCurrent(Configuration &Out) {
   PublishStatus Result = PublishStatus::Malformed;
-  for (int Attempt = 0; Attempt < ReadAttempts; ++Attempt) {
-    Configuration Config;
-    Result = readSnapshot(Config);
-    bool AtEnd = false;
-    while (Result == PublishStatus::Done && !AtEnd)
-      Result = readChange(Config, AtEnd);
-    if (Result == PublishStatus::Done)
-      Out = std::move(Config);
-    if (Result != PublishStatus::Malformed)
-      break;
-  }
+  for (int Attempt = 0;
+       Attempt < ReadAttempts && Result == PublishStatus::Malformed; ++Attempt)
+    Result = readOnce(Out);
   return Result;
 }
 
-PublishStatus ConfigPublisher::readSnapshot(Configuration &Out) {
-  const std::string Key = snapshotLatestKey(Prefix);
-  const StoreReply HeaderReply = readKey(Key);
-  if (HeaderReply.Result == Status::Absent)
-    return PublishStatus::Done;
-  if (HeaderReply.Result != Status::Done)
-    return fail(PublishStatus::Unreachable, Key, HeaderReply.Detail);
-  SnapshotHeader Header;
-  if (const auto Error = decodeSnapshotHeader(HeaderReply.Value, Header))
-    return fail(PublishStatus::Malformed, Key, Error.message());
-  Out.Version = Header.Version;
-  for (uint32_t Part = 0; Part < Header.Parts; ++Part) {
-    const std::string PartKey = snapshotPartKey(Prefix, Header.Version, Part);
-    const StoreReply Reply = readKey(PartKey);
-    if (Reply.Result == Status::NoAnswer)
-      return fail(PublishStatus::Unreachable, PartKey, Reply.Detail);
-    if (const auto Error = addSnapshotPart(Reply.Value, Out))
-      return fail(PublishStatus::Malformed, PartKey, Error.message());
-  }
-  return PublishStatus::Done;
-}
-
-PublishStatus ConfigPublisher::readChange(Configuration &Out, bool &AtEnd) {
-  const ConfigVersion NextVersion(Out.Version.value() + 1);
-  const std::string Key = changeKey(Prefix, NextVersion);
-  const StoreReply Reply = readKey(Key);
-  AtEnd = Reply.Result == Status::Absent;
-  if (AtEnd)
-    return PublishStatus::Done;
-  if (Reply.Result != Status::Done)
-    return fail(PublishStatus::Unreachable, Key, Reply.Detail);
-  ConfigChange Change;
-  if (const auto Error = decodeChange(Reply.Value, Change))
-    return fail(PublishStatus::Malformed, Key, Error.message());
-  for (uint32_t Part = 0; Part < Change.Parts; ++Part) {
-    const std::string PartKey = changePartKey(Prefix, Change.ChangeId, Part);
-    const StoreReply PartReply = readKey(PartKey);
-    if (PartReply.Result == Status::NoAnswer)
-      return fail(PublishStatus::Unreachable, PartKey, PartReply.Detail);
-    if (const auto Error = addChangePart(PartReply.Value, Change))
-      return fail(PublishStatus::Malformed, PartKey, Error.message());
+PublishStatus ConfigPublisher::readOnce(Configuration &Out) {
+  Configuration Config;
+  ConfigAssembler Assembler(Prefix);
+  while (true) {
+    const bool IsLastStep =
+        Assembler.step() == ConfigAssembler::Step::NextChange;
+    const std::string Key = Assembler.nextKey(Config.Version);
+    const StoreReply Reply = readKey(Key);
+    if (Reply.Result != Status::Done && Reply.Result != Status::Absent)
+      return fail(PublishStatus::Unreachable, Key, Reply.Detail);
+    ConfigAssembler::Result Read =
+        Reply.Result == Status::Done
+            ? Assembler.onFound(Reply.Value, Config.Version)
+            : Assembler.onMissing();
+    if (Read.ResultKind == ConfigAssembler::Result::Kind::Malformed)
+      return fail(PublishStatus::Malformed, Key, Read.Problem);
+    if (Read.Config)
+      adopt(std::move(*Read.Config), Config);
+    else if (IsLastStep && Reply.Result == Status::Absent)
+      break;
   }
-  if (!applyChange(Change, Out))
-    return fail(PublishStatus::Malformed, Key,
-                "it holds version " + std::to_string(Change.Version.value()));
+  Out = std::move(Config);
   return PublishStatus::Done;
 }
 
--- a/src/config_publisher.h
+++ b/src/config_publisher.h
@@ -56,8 +56,7 @@
   PublishStatus fail(PublishStatus Status, const std::string &Key,
                      const std::string &Cause);
   StoreReply readKey(const std::string &Key);
-  PublishStatus readSnapshot(Configuration &Out);
-  PublishStatus readChange(Configuration &Out, bool &AtEnd);
+  PublishStatus readOnce(Configuration &Out);
   PublishStatus writeParts(const ConfigChange &Change,
                            const StoredChange &Stored);
   PublishStatus writeChange(const ConfigChange &Change,
--- a/src/store_reader.cpp
+++ b/src/store_reader.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "blackboard.h"
-#include "config_codec.h"
 
 namespace indigopoint {
 
@@ -22,12 +21,12 @@
 // The next change may have been deleted after a snapshot. A watch on its key
 // would then never return a change, so the snapshot is checked once a minute.
 constexpr uint32_t WatchesPerSnapshotCheck = 6;
-// A value with a higher number of parts is malformed: at 900 KB per part, this
-// number exceeds any configuration that the instances accept.
-constexpr uint32_t MaxParts = 64;
 
 } // namespace
 
+StoreReader::StoreReader(Blackboard &Board)
+    : Board(Board), Assembler(Board.Settings.StorePrefix) {}
+
 void StoreReader::setRole(Role NewRole) {
   if (NewRole == CurrentRole)
     return;
@@ -38,20 +37,16 @@
   CurrentRole = NewRole;
 }
 
-// A watch is answered immediately if the change already exists. In the role
-// ReadOnce, the reader must not wait for a further change.
-StoreReader::Step StoreReader::nextStep() const {
-  return CurrentRole == Role::Follow && HasReadHeader ? Step::Watch
-                                                      : Step::NextChange;
-}
-
 void StoreReader::restart() {
   // A new instance needs the snapshot. All other instances first look for the
   // next change, and for a snapshot only if there is no next change.
   HasReadHeader = false;
+  IsWatching = false;
   WatchesWithoutChange = 0;
-  CurrentStep = Board.Config.Version == ConfigVersion() ? Step::SnapshotHeader
-                                                        : Step::NextChange;
+  if (Board.Config.Version == ConfigVersion())
+    Assembler.startWithSnapshot();
+  else
+    Assembler.startWithNextChange();
 }
 
 void StoreReader::onTick(ActionSink &Sink) {
@@ -63,27 +58,16 @@
     startStep(Sink);
 }
 
+// A watch is answered immediately if the change already exists. In the role
+// ReadOnce, the reader must not wait for a further change.
 void StoreReader::startStep(ActionSink &Sink) {
-  const std::string &Prefix = Board.Settings.StorePrefix;
-  const ConfigVersion NextVersion(Board.Config.Version.value() + 1);
-  switch (CurrentStep) {
-  case Step::NextChange:
-    return call(StoreCallKind::Get, changeKey(Prefix, NextVersion), {}, Sink);
-  case Step::ChangePart:
-    return call(StoreCallKind::Get,
-                changePartKey(Prefix, Change.ChangeId, PartIndex), {}, Sink);
-  case Step::SnapshotHeader:
-    return call(StoreCallKind::Get, snapshotLatestKey(Prefix), {}, Sink);
-  case Step::SnapshotPart:
-    return call(StoreCallKind::Get,
-                snapshotPartKey(Prefix, Header.Version, PartIndex), {}, Sink);
-  case Step::Watch:
-    if (CurrentRole == Role::ReadOnce)
-      CurrentRole = Role::None;
-    else
-      call(StoreCallKind::Watch, changeKey(Prefix, NextVersion), WatchWait,
-           Sink);
-  }
+  const std::string &NextKey = Assembler.nextKey(Board.Config.Version);
+  if (!IsWatching)
+    call(StoreCallKind::Get, NextKey, {}, Sink);
+  else if (CurrentRole == Role::ReadOnce)
+    CurrentRole = Role::None;
+  else
+    call(StoreCallKind::Watch, NextKey, WatchWait, Sink);
 }
 
 void StoreReader::call(StoreCallKind Kind, std::string NewKey, Duration Wait,
@@ -110,8 +94,8 @@
                " ms");
 }
 
-std::optional<StoreReader::NewerConfig>
-StoreReader::onAnswer(const StoreAnswer &Answer, ActionSink &Sink) {
+std::optional<NewerConfig> StoreReader::onAnswer(const StoreAnswer &Answer,
+                                                 ActionSink &Sink) {
   // An answer that arrives after the timeout of its call is ignored.
   if (!IsCallPending || Answer.Call.value() != LastCallId)
     return std::nullopt;
@@ -126,16 +110,16 @@
       return std::nullopt;
     return onFound(Answer, Sink);
   }
-  onNothingNewer(Sink);
+  onMissing(Sink);
   return std::nullopt;
 }
 
 bool StoreReader::rejectOldRevision(const StoreAnswer &Answer,
                                     ActionSink &Sink) {
   uint64_t *LastRevision = nullptr;
-  if (CurrentStep == Step::SnapshotHeader) {
+  if (Assembler.step() == ConfigAssembler::Step::SnapshotHeader) {
     LastRevision = &HeaderRevision;
-  } else if (CurrentStep == Step::NextChange || CurrentStep == Step::Watch) {
+  } else if (Assembler.step() == ConfigAssembler::Step::NextChange) {
     if (Key != LastChangeKey)
       ChangeRevision = 0;
     LastChangeKey = Key;
@@ -152,119 +136,55 @@
   return true;
 }
 
-std::optional<StoreReader::NewerConfig>
-StoreReader::onFound(const StoreAnswer &Answer, ActionSink &Sink) {
-  switch (CurrentStep) {
-  case Step::NextChange:
-  case Step::Watch:
-    return onChange(Answer, Sink);
-  case Step::ChangePart:
-    return onChangePart(Answer, Sink);
-  case Step::SnapshotHeader:
-    onSnapshotHeader(Answer, Sink);
-    return std::nullopt;
-  case Step::SnapshotPart:
-    return onSnapshotPart(Answer, Sink);
-  }
-  return std::nullopt;
-}
-
-void StoreReader::onNothingNewer(ActionSink &Sink) {
-  if (CurrentStep == Step::ChangePart || CurrentStep == Step::SnapshotPart)
-    return fail(Key + " is missing in the store", Sink);
-  Failures = 0;
-  if (CurrentStep == Step::NextChange) {
-    CurrentStep = HasReadHeader ? Step::Watch : Step::SnapshotHeader;
-  } else if (CurrentStep == Step::SnapshotHeader) {
-    HasReadHeader = true;
-    WatchesWithoutChange = 0;
-    CurrentStep = nextStep();
-  } else {
-    NextCallAt = std::max(NextCallAt, CalledAt + MinWatchInterval);
-    if (++WatchesWithoutChange >= WatchesPerSnapshotCheck)
-      CurrentStep = Step::SnapshotHeader;
-  }
-}
-
-std::optional<StoreReader::NewerConfig>
-StoreReader::onChange(const StoreAnswer &Answer, ActionSink &Sink) {
-  ConfigChange DecodedChange;
-  if (const std::error_code Error = decodeChange(Answer.Value, DecodedChange)) {
-    fail(Key + " is malformed: " + Error.message(), Sink);
+std::optional<NewerConfig> StoreReader::onFound(const StoreAnswer &Answer,
+                                                ActionSink &Sink) {
+  const bool IsHeader =
+      Assembler.step() == ConfigAssembler::Step::SnapshotHeader;
+  ConfigAssembler::Result Read =
+      Assembler.onFound(Answer.Value, Board.Config.Version);
+  if (Read.ResultKind == ConfigAssembler::Result::Kind::Malformed) {
+    fail("rejected " + Key + ": " + Read.Problem, Sink);
     return std::nullopt;
   }
-  // A peer may have delivered this version before the store answered.
-  const ConfigVersion CurrentVersion = Board.Config.Version;
-  if (DecodedChange.Version <= CurrentVersion &&
-      Key == changeKey(Board.Settings.StorePrefix, DecodedChange.Version)) {
+  const bool IsIncomplete =
+      Read.ResultKind == ConfigAssembler::Result::Kind::Incomplete;
+  if (!IsIncomplete)
     Failures = 0;
-    return std::nullopt;
-  }
-  // A change with too many parts is rejected with the same message.
-  if (DecodedChange.Version.value() != CurrentVersion.value() + 1 ||
-      DecodedChange.Parts > MaxParts) {
-    fail("rejected " + Key + ": it holds version " +
-             std::to_string(DecodedChange.Version.value()) +
-             ", but the version in force is " +
-             std::to_string(CurrentVersion.value()),
-         Sink);
-    return std::nullopt;
-  }
-  Change = std::move(DecodedChange);
-  if (Change.Parts == 0)
-    return finishChange();
-  PartIndex = 0;
-  CurrentStep = Step::ChangePart;
-  return std::nullopt;
-}
-
-std::optional<StoreReader::NewerConfig>
-StoreReader::onChangePart(const StoreAnswer &Answer, ActionSink &Sink) {
-  if (const std::error_code Error = addChangePart(Answer.Value, Change)) {
-    fail(Key + " is malformed: " + Error.message(), Sink);
-    return std::nullopt;
-  }
-  if (++PartIndex < Change.Parts)
-    return std::nullopt;
-  return finishChange();
-}
-
-std::optional<StoreReader::NewerConfig> StoreReader::finishChange() {
-  Failures = 0;
-  Change.Parts = 0;
-  CurrentStep = nextStep();
-  return std::exchange(Change, {});
+  if (IsHeader && IsIncomplete)
+    HasReadHeader = true;
+  else if (IsHeader)
+    onSnapshotRead();
+  else if (Read.Config)
+    IsWatching = mayWatch();
+  return std::move(Read.Config);
 }
 
-void StoreReader::onSnapshotHeader(const StoreAnswer &Answer,
-                                   ActionSink &Sink) {
-  if (const std::error_code Error = decodeSnapshotHeader(Answer.Value, Header))
-    return fail(Key + " is malformed: " + Error.message(), Sink);
-  if (Header.Version <= Board.Config.Version)
-    return onNothingNewer(Sink);
-  if (Header.Parts == 0 || Header.Parts > MaxParts)
-    return fail(Key + " refers to " + std::to_string(Header.Parts) +
-                    " parts; the allowed number is 1 to " +
-                    std::to_string(MaxParts),
-                Sink);
+void StoreReader::onSnapshotRead() {
   HasReadHeader = true;
-  Snapshot = Configuration();
-  Snapshot.Version = Header.Version;
-  PartIndex = 0;
-  CurrentStep = Step::SnapshotPart;
+  WatchesWithoutChange = 0;
+  IsWatching = mayWatch();
 }
 
-std::optional<StoreReader::NewerConfig>
-StoreReader::onSnapshotPart(const StoreAnswer &Answer, ActionSink &Sink) {
-  if (const std::error_code Error = addSnapshotPart(Answer.Value, Snapshot)) {
-    fail(Key + " is malformed: " + Error.message(), Sink);
-    return std::nullopt;
-  }
-  if (++PartIndex < Header.Parts)
-    return std::nullopt;
+void StoreReader::onMissing(ActionSink &Sink) {
+  const bool IsHeader =
+      Assembler.step() == ConfigAssembler::Step::SnapshotHeader;
+  const ConfigAssembler::Result Read = Assembler.onMissing();
+  if (Read.ResultKind == ConfigAssembler::Result::Kind::Malformed)
+    return fail("rejected " + Key + ": " + Read.Problem, Sink);
   Failures = 0;
-  CurrentStep = nextStep();
-  return std::exchange(Snapshot, {});
+  if (IsHeader)
+    return onSnapshotRead();
+  if (!IsWatching) {
+    IsWatching = HasReadHeader;
+    if (!HasReadHeader)
+      Assembler.startWithSnapshot();
+    return;
+  }
+  NextCallAt = std::max(NextCallAt, CalledAt + MinWatchInterval);
+  if (++WatchesWithoutChange < WatchesPerSnapshotCheck)
+    return;
+  IsWatching = false;
+  Assembler.startWithSnapshot();
 }
 
 } // namespace indigopoint
--- a/src/store_reader.h
+++ b/src/store_reader.h
@@ -1,12 +1,10 @@
 #pragma once
 
-#include <map>
 #include <optional>
 #include <string>
-#include <variant>
 
+#include "config_assembler.h"
 #include "engine_io.h"
-#include "store_format.h"
 
 namespace indigopoint {
 
@@ -24,10 +22,7 @@
     Follow
   };
 
-  /// A change or snapshot that is newer than the current configuration.
-  using NewerConfig = std::variant<ConfigChange, Configuration>;
-
-  explicit StoreReader(Blackboard &Board) : Board(Board) {}
+  explicit StoreReader(Blackboard &Board);
 
   void setRole(Role NewRole);
   Role role() const { return CurrentRole; }
@@ -43,36 +38,23 @@
                                       ActionSink &Sink);
 
 private:
-  enum class Step {
-    NextChange,
-    ChangePart,
-    SnapshotHeader,
-    SnapshotPart,
-    Watch
-  };
-
   void call(StoreCallKind Kind, std::string Key, Duration Wait,
             ActionSink &Sink);
   void startStep(ActionSink &Sink);
   void restart();
-  Step nextStep() const;
+  /// Whether a watch instead of a read shows the next change.
+  bool mayWatch() const { return CurrentRole == Role::Follow && HasReadHeader; }
   void fail(const std::string &Reason, ActionSink &Sink);
   bool rejectOldRevision(const StoreAnswer &Answer, ActionSink &Sink);
   std::optional<NewerConfig> onFound(const StoreAnswer &Answer,
                                      ActionSink &Sink);
-  void onNothingNewer(ActionSink &Sink);
-  std::optional<NewerConfig> onChange(const StoreAnswer &Answer,
-                                      ActionSink &Sink);
-  std::optional<NewerConfig> onChangePart(const StoreAnswer &Answer,
-                                          ActionSink &Sink);
-  std::optional<NewerConfig> finishChange();
-  void onSnapshotHeader(const StoreAnswer &Answer, ActionSink &Sink);
-  std::optional<NewerConfig> onSnapshotPart(const StoreAnswer &Answer,
-                                            ActionSink &Sink);
+  void onMissing(ActionSink &Sink);
+  void onSnapshotRead();
 
   Blackboard &Board;
   Role CurrentRole = Role::None;
-  Step CurrentStep = Step::NextChange;
+  ConfigAssembler Assembler;
+  bool IsWatching = false;
   bool HasReadHeader = false;
   bool Answered = false;
   uint32_t Failures = 0;
@@ -83,10 +65,6 @@
   TimePoint CalledAt{};
   TimePoint GiveUpAt{};
   TimePoint NextCallAt{};
-  ConfigChange Change;
-  SnapshotHeader Header;
-  Configuration Snapshot;
-  uint32_t PartIndex = 0;
   uint64_t HeaderRevision = 0;
   std::string LastChangeKey;
   uint64_t ChangeRevision = 0;
