Count only own doubts as this instance's word on a stopped upstream

Cause: an upstream that two other instances had found stopped was suspect here for that reason, which counted as a doubt of this instance. One of the two could then have it avoided for ever.

Change: only unanswered openings of this instance count. The new case of StoppedUpstreamTest was seen to fail with a shorter time in between only; it was not run against the code before.

--- a/src/exchange_monitor.cpp
+++ b/src/exchange_monitor.cpp
@@ -152,7 +152,7 @@
 }
 
 bool ExchangeMonitor::hasStopped(const Upstream &Target, TimePoint Now) const {
-  const size_t OwnVote = Target.Reachability.isSuspect(Now) ? 1 : 0;
+  const size_t OwnVote = Target.Reachability.hasOwnDoubts(Now) ? 1 : 0;
   return Peers.countStopReports(Target, Now) + OwnVote >= MinStopVotes;
 }
 
--- a/src/reachability_tracker.cpp
+++ b/src/reachability_tracker.cpp
@@ -90,11 +90,10 @@
     --PendingOpenings;
 }
 
-bool ReachabilityTracker::isSuspect(TimePoint Now) const {
-  return Now < SuspectUntil || isDead(Now) ||
-         (Opts->SuspectPendingOpenings &&
-          PendingOpenings >= MinPendingToSuspect &&
-          Now - WaitStartedAt > PendingTimeout);
+bool ReachabilityTracker::hasOwnDoubts(TimePoint Now) const {
+  return Now < SuspectUntil || (Opts->SuspectPendingOpenings &&
+                                PendingOpenings >= MinPendingToSuspect &&
+                                Now - WaitStartedAt > PendingTimeout);
 }
 
 } // namespace indigopoint
--- a/src/reachability_tracker.h
+++ b/src/reachability_tracker.h
@@ -51,7 +51,12 @@
   }
 
   /// Whether new flows should go to other upstreams.
-  bool isSuspect(TimePoint Now) const;
+  bool isSuspect(TimePoint Now) const {
+    return hasOwnDoubts(Now) || isDead(Now);
+  }
+
+  /// Whether openings of this instance were left unanswered.
+  bool hasOwnDoubts(TimePoint Now) const;
 
   /// Whether a check failed recently and the upstream has not answered since.
   /// The upstream is then assumed to have stopped, and its open flows are
--- a/tests/stopped_upstream_test.cpp
+++ b/tests/stopped_upstream_test.cpp
@@ -113,6 +113,18 @@
          report(1, Id);
        },
        true},
+      {"one goes on after the other's report has expired",
+       [&](uint64_t Id) {
+         report(1, Id);
+         report(2, Id);
+         resets();
+         TimeSource.advance(1400ms);
+         report(1, Id);
+         TimeSource.advance(1600ms);
+         Steering.sweep();
+         report(1, Id);
+       },
+       false},
       {"evidence without a failed check",
        [&](uint64_t Id) {
          report(1, Id, false);
