Let the test of an expired report fail without own doubts

Cause: its reports lay so far apart that it passed with the rule before as well.

Measured: with isSuspect instead of hasOwnDoubts the case fails, with hasOwnDoubts it passes.

--- a/tests/stopped_upstream_test.cpp
+++ b/tests/stopped_upstream_test.cpp
@@ -120,9 +120,9 @@
          resets();
          TimeSource.advance(1400ms);
          report(1, Id);
-         TimeSource.advance(1600ms);
-         Steering.sweep();
+         TimeSource.advance(1200ms);
          report(1, Id);
+         TimeSource.advance(900ms);
        },
        false},
       {"evidence without a failed check",
