--- a/tests/silent_zone_test.cpp
+++ b/tests/silent_zone_test.cpp
@@ -132,7 +132,7 @@
 // those of photos open one for each request.
 class DarkZoneLoadTest : public SteeringFixture {
 protected:
-  static constexpr int Clients = 120;
+  static constexpr size_t Clients = 120;
   static constexpr Duration RequestPeriod = 2s;
   static constexpr Duration Response = 30ms;
   static constexpr Duration TimeLimit = 1500ms;
@@ -254,7 +254,7 @@
   }
 
   std::vector<Client> All;
-  std::vector<int> Opened = std::vector<int>(Clients);
+  std::vector<size_t> Opened = std::vector<size_t>(Clients);
 };
 
 // Guards against clients that send the next request on a flow whose upstream is
