Read the parts of a watched change instead of watching them

Cause: since the reader of serve kept watching after a watch had returned a change with parts. It then watched the key of a part for up to 10 s instead of reading it, and in the role ReadOnce gave the change up half read. Found by reading the change again; no test covered a missing part after a watch.

Change: an incomplete change ends the watch.

--- a/src/store_reader.cpp
+++ b/src/store_reader.cpp
@@ -148,7 +148,10 @@
   }
   const bool IsIncomplete =
       Read.ResultKind == ConfigAssembler::Result::Kind::Incomplete;
-  if (!IsIncomplete)
+  if (IsIncomplete)
+    // A part exists before the key that refers to it, so it is not watched for.
+    IsWatching = false;
+  else
     Failures = 0;
   if (IsHeader && IsIncomplete)
     HasReadHeader = true;
--- a/tests/config_controller_test.cpp
+++ b/tests/config_controller_test.cpp
@@ -353,6 +353,28 @@
   EXPECT_EQ(node(3).Board.Config, node(0).Board.Config);
 }
 
+// Guards against a reader that watches for the part of a change, so that it
+// notices a missing part only at the end of the watch.
+TEST_F(ConfigControllerTest, PartsOfAWatchedChangeAreReadAtOnce) {
+  addNodes({"lim-a"}, 1);
+  putChanges(1, 1);
+  Fleet.runUntil(1, seconds(10));
+  Fleet.run(seconds(5));
+  ASSERT_GT(Fleet.Store.Watches, 0U);
+  StoredChange Stored;
+  const ConfigChange Change = fleetChange(2);
+  ASSERT_FALSE(
+      encodeStoredChange(Change, Stored, encodeChange(Change).size() - 1));
+  ASSERT_FALSE(Stored.Parts.empty());
+  Fleet.Store.put(fleetKey(2), Stored.Value);
+  Fleet.run(seconds(2));
+  EXPECT_TRUE(hasLogged(node(0), "it is missing in the store"));
+  for (size_t Index = 0; Index < Stored.Parts.size(); ++Index)
+    Fleet.Store.put(changePartKey("indigopoint/", Change.ChangeId, Index),
+                    Stored.Parts[Index]);
+  EXPECT_LT(Fleet.runUntil(2, seconds(10)), seconds(5));
+}
+
 // Guards against a snapshot that is encoded in one call, which delays packets
 // for 190 ms at 40,000 upstreams, and against a snapshot that is never
 // completed because further changes arrive.
