Take the ports of tests below the ephemeral range

Four fixtures bound an ephemeral port, closed it and used its number later; an outgoing connection, or the next of these sockets, could get the same port in between.

Ruled out: a listener that was left over, since each test has its own event loop and sockets.

It replaces the four.

--- a/tests/evacuation_path_test.cpp
+++ b/tests/evacuation_path_test.cpp
@@ -27,12 +27,6 @@
     std::unique_ptr<Forwarder> Instance;
   };
 
-  Endpoint freePort() {
-    HttpServer Probe(Loop);
-    EXPECT_FALSE(Probe.open(AnyPort));
-    return Probe.address();
-  }
-
   void SetUp() override {
     for (auto &[Name, Target] : Upstreams)
       ASSERT_FALSE(Target.open(
@@ -55,10 +49,10 @@
   void start(Node &Target, Endpoint StoreAddress, std::vector<Endpoint> Seeds) {
     Target.Settings.Name = "test";
     Target.Settings.Zone = "a";
-    Target.Settings.DataAddress = freePort();
-    Target.Settings.ReadyAddress = freePort();
-    Target.Settings.MetricsAddress = freePort();
-    Target.Settings.PeerAddress = freePort();
+    Target.Settings.DataAddress = unusedAddress();
+    Target.Settings.ReadyAddress = unusedAddress();
+    Target.Settings.MetricsAddress = unusedAddress();
+    Target.Settings.PeerAddress = unusedAddress();
     Target.Settings.Store = StoreAddress;
     Target.Settings.Seeds = std::move(Seeds);
     Target.Instance = std::make_unique<Forwarder>(Loop, Target.Settings,
@@ -235,7 +229,7 @@
 TEST_F(EvacuationPathTest, EvacuationThroughAPeer) {
   start(First, Store.address(), {});
   // Nothing listens at the address of its store.
-  start(Second, freePort(), {First.Settings.PeerAddress});
+  start(Second, unusedAddress(), {First.Settings.PeerAddress});
   expectFlowsInZoneA(Second);
   evacuate("a");
   ASSERT_TRUE(reports(Second, "\"zone\": \"a\""));
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -20,12 +20,6 @@
 // loopback.
 class ForwarderTest : public testing::Test {
 protected:
-  static Endpoint freePort(EventLoop &Loop) {
-    HttpServer Probe(Loop);
-    EXPECT_FALSE(Probe.open(AnyPort));
-    return Probe.address();
-  }
-
   void SetUp() override {
     ASSERT_FALSE(
         Upstream.open(Loop, AnyPort, [this](Endpoint, std::string_view Bytes) {
@@ -40,10 +34,10 @@
     ASSERT_FALSE(Store.open(AnyPort));
     Settings.Name = "test";
     Settings.Zone = "a";
-    Settings.DataAddress = freePort(Loop);
-    Settings.ReadyAddress = freePort(Loop);
+    Settings.DataAddress = unusedAddress();
+    Settings.ReadyAddress = unusedAddress();
     Settings.Store = Store.address();
-    Settings.MetricsAddress = freePort(Loop);
+    Settings.MetricsAddress = unusedAddress();
     Settings.StopLimit = 3s;
     Instance = std::make_unique<Forwarder>(Loop, Settings, forwarderProtocol(),
                                            [this] {
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -34,15 +34,8 @@
     PeerExchange Exchange;
   };
 
-  // Returns an address with a port on which nothing listens.
-  static Endpoint freePort(EventLoop &Loop) {
-    HttpServer TemporaryServer(Loop);
-    EXPECT_FALSE(TemporaryServer.open(AnyPort));
-    return TemporaryServer.address();
-  }
-
   PeerExchangeTest()
-      : ServerAddress(freePort(Loop)), Server(Loop, ServerAddress),
+      : ServerAddress(unusedAddress()), Server(Loop, ServerAddress),
         Client(Loop, {0x7f000001, 9}) {}
 
   StoreResult ask(uint64_t After, Duration Wait, uint64_t Era = 0) {
--- a/tests/peer_reporter_test.cpp
+++ b/tests/peer_reporter_test.cpp
@@ -24,19 +24,11 @@
 // Two reporters of one zone on two loopback addresses with the same port.
 class PeerReporterTest : public testing::Test {
 protected:
-  // Asks the system for a port that is free at the first address.
-  static uint16_t freePort() {
-    EventLoop Loop;
-    UdpEndpoint Probe{MaxReportBytes};
-    EXPECT_FALSE(Probe.open(Loop, AnyPort, [](Endpoint, std::string_view) {}));
-    return Probe.address().Port;
-  }
-
   PeerReporter::Options optionsOf(uint32_t Ip) const {
     return {{Ip, Port}, {Ip, PeerPort}, "lim-a"};
   }
 
-  const uint16_t Port = freePort();
+  const uint16_t Port = unusedAddress().Port;
   EventLoop Loop;
   EventClock TimeSource;
   std::vector<ServiceLoad> Loads;
