--- a/experiments/experiments_test.py
+++ b/experiments/experiments_test.py
@@ -81,13 +81,25 @@
     def test_changes_are_means_over_equal_days_and_seeds(self):
         def run(variant, seed):
             return result_table.Run(variant, "site", "day-1", seed)
-        results = {run("baseline", 1): day(0.9), run("baseline", 2): day(0.8),
+        loss = bench_report.Window(0, 10, 4, 4, 2, 0.5)
+        results = {run("baseline", 1): day(0.9, [loss, loss]), run("baseline", 2): day(0.8),
                    run("other", 1): day(0.92), run("other", 2): day(0.84, broken=1),
                    run("other", 3): day(0.1)}
         own = result_table.compare(results, "baseline")[1]
         self.assertEqual((own.variant, own.runs, own.broken), ("other", 2, 1))
         self.assertAlmostEqual(own.change, 0.03)
         self.assertAlmostEqual(own.error, 0.01)
+        self.assertEqual((own.late_change, own.failed_change), (-4, -2))
+
+    def test_days_are_names_or_files(self):
+        with tempfile.TemporaryDirectory() as folder:
+            site = pathlib.Path(folder) / "site.toml"
+            site.write_text('[[day]]\nname = "quiet-1"\n[[day]]\nname = "scale-1"\n')
+            for chosen, days in ((None, ["scale-1"]), ("quiet-1", ["quiet-1"]),
+                                 (str(site), [str(site.resolve())])):
+                self.assertEqual(run_experiment.Experiment.days_of(site, chosen), days)
+            with self.assertRaisesRegex(run_experiment.ExperimentError, "or the path"):
+                run_experiment.Experiment.days_of(site, "scale-2")
 
     def test_plot_has_a_row_for_each_comparison(self):
         results = {result_table.Run(name, "<site>", "day-1", 1): day(worth)
--- a/experiments/result_table.py
+++ b/experiments/result_table.py
@@ -29,6 +29,9 @@
     windows_change: float
     zone_change: float
     prices_change: float
+    # Requests a run.
+    late_change: float
+    failed_change: float
     broken: int
 
 
@@ -53,6 +56,7 @@
     return Comparison(variant, site, len(pairs), statistics.mean(own.worth for own, _ in pairs),
                       statistics.mean(worth), error, statistics.mean(changes("windows")),
                       statistics.mean(changes("zone")), statistics.mean(changes("prices")),
+                      statistics.mean(changes("late")), statistics.mean(changes("failed")),
                       sum(1 for own, _ in pairs if own.broken))
 
 
@@ -65,7 +69,8 @@
 
 
 def runs_csv(results):
-    parts = ["worth", "whole", "windows", "kind", "zone", "prices", "spread", "broken"]
+    parts = ["worth", "whole", "windows", "kind", "zone", "prices", "spread", "late", "failed",
+             "broken"]
     rows = [[*dataclasses.astuple(run), *(getattr(result, part) for part in parts)]
             for run, result in sorted(results.items(), key=lambda item: str(item[0]))]
     return to_csv(["variant", "site", "day", "seed", *parts], rows)
@@ -79,9 +84,10 @@
 
 def comparison_text(table):
     lines = [f"{'site':26} {'variant':32} {'runs':>4} {'worth':>7} {'change':>8} {'error':>7} "
-             f"{'windows':>8} {'zone':>8} {'prices':>8} {'broken':>6}"]
+             f"{'windows':>8} {'zone':>8} {'prices':>8} {'late':>7} {'failed':>7} {'broken':>6}"]
     for row in table:
         lines.append(f"{row.site:26} {row.variant:32} {row.runs:4} {row.worth:7.4f} "
                      f"{row.change:+8.4f} {row.error:7.4f} {row.windows_change:+8.4f} "
-                     f"{row.zone_change:+8.4f} {row.prices_change:+8.4f} {row.broken:6}")
+                     f"{row.zone_change:+8.4f} {row.prices_change:+8.4f} {row.late_change:+7.1f} "
+                     f"{row.failed_change:+7.1f} {row.broken:6}")
     return "\n".join(lines)
--- a/experiments/run_experiment.py
+++ b/experiments/run_experiment.py
@@ -3,7 +3,7 @@
 stopped experiment goes on where it was.
 
 Usage: run_experiment.py --bench PATH --site FILE [--site FILE] --out FOLDER
-                         [--variants FILE] [--only NAME,...] [--days NAME,...]
+                         [--variants FILE] [--only NAME,...] [--days NAME|FILE,...]
                          [--seeds N] [--jobs N] [--small] [--base FOLDER]"""
 
 import argparse
@@ -106,13 +106,17 @@
 
     @staticmethod
     def days_of(site, chosen):
+        """Returns the names of the chosen days, and the absolute paths of chosen files."""
         known = bench_report.days_of(site)
         if not chosen:
             return [day for day in known if not day.startswith("quiet")]
-        unknown = [day for day in chosen.split(",") if day not in known]
+        days = [str(pathlib.Path(day).resolve()) if pathlib.Path(day).is_file() else day
+                for day in chosen.split(",")]
+        unknown = [day for day in days if day not in known and not day.startswith("/")]
         if unknown:
-            raise ExperimentError(f"--days: {site.name} has no {unknown}; use some of {known}")
-        return chosen.split(",")
+            raise ExperimentError(f"--days: {site.name} has no {unknown}; use some of {known}, "
+                                  "or the path of a day's file")
+        return days
 
     def prepare(self):
         first = None
@@ -126,7 +130,8 @@
                 bench_report.build(self.bench, tree)
 
     def play(self, run):
-        report = self.out / "reports" / f"{run.variant}-{run.site}-{run.day}-{run.seed}.json"
+        day = pathlib.Path(run.day).stem
+        report = self.out / "reports" / f"{run.variant}-{run.site}-{day}-{run.seed}.json"
         if report.exists():
             try:
                 return bench_report.read_report(report.read_text())
@@ -162,7 +167,8 @@
     parser.add_argument("--out", required=True, help="folder of trees, reports and results")
     parser.add_argument("--variants", default=str(ROOT / "experiments" / "variants.json"))
     parser.add_argument("--only", help="names of variants, separated by commas")
-    parser.add_argument("--days", help="names of days, separated by commas; all with trouble")
+    parser.add_argument("--days", help="names or files of days, separated by commas; "
+                        "all with trouble")
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--jobs", type=int, default=3, help="runs at a time")
     parser.add_argument("--small", action="store_true", help="play small twins of the days")
