Let the readers of serve follow the store with store_sync

Cause: the configuration was followed twice. StoreReader of serve read and watched key by key and had its own back-off, timeouts and revision check; StoreSync of the forwarder follows all keys by era and revision.

Ruled out: one applier for both kinds of content. serve applies numbered documents, the forwarder single items; ConfigAssembler keeps putting the documents together, now from a StoreMirror.

StoreSync takes the delays of its retries. Store calls of the engine are StoreQuery and StoreResult; PlatformClient and the stand-in speak range reads and range watches, with the era in a header. FleetStore of the tests is the ModelStore of StoreSync's tests.

peer_fetch stays, since instances of serve have no connections to each other.

--- a/src/config_controller.cpp
+++ b/src/config_controller.cpp
@@ -8,9 +8,9 @@
 #include "blackboard.h"
 #include "change_log.h"
 #include "config_codec.h"
+#include "config_follower.h"
 #include "peer_fetch.h"
 #include "peer_link.h"
-#include "store_reader.h"
 
 namespace indigopoint {
 
@@ -58,7 +58,7 @@
 
 struct ConfigController::Impl {
   Impl(Blackboard &Board, PeerLink &Peers)
-      : Board(Board), Peers(Peers), Reader(Board) {}
+      : Board(Board), Peers(Peers), Follower(Board) {}
 
   bool isElectedReader();
   void updateRole();
@@ -80,7 +80,7 @@
   PeerLink &Peers;
   ChangeLog Log;
   PeerFetch Fetch;
-  StoreReader Reader;
+  ConfigFollower Follower;
   uint64_t Generation = 0;
 
   std::optional<uint64_t> SeenMembersGeneration;
@@ -128,11 +128,11 @@
 
 void ConfigController::Impl::updateRole() {
   if (isElectedReader() && Board.now() - ElectedAt >= ElectionDelay)
-    Reader.setRole(StoreReader::Role::Follow);
+    Follower.setRole(ConfigFollower::Role::Follow);
   else if (isFallbackDue())
-    Reader.setRole(StoreReader::Role::ReadOnce);
-  else if (Reader.role() == StoreReader::Role::Follow || !Offers.empty())
-    Reader.setRole(StoreReader::Role::None);
+    Follower.setRole(ConfigFollower::Role::ReadOnce);
+  else if (Follower.role() == ConfigFollower::Role::Follow || !Offers.empty())
+    Follower.setRole(ConfigFollower::Role::None);
 }
 
 // A new instance reads the store itself if no peer offers a version.
@@ -162,7 +162,7 @@
   // index.
   PImpl->ChunksSent = 0;
   PImpl->updateRole();
-  PImpl->Reader.onTick(Sink);
+  PImpl->Follower.onTick(Sink);
   PImpl->fetchFromPeers(Sink);
   PImpl->Log.encodeStep(PImpl->Board.now());
   PImpl->Log.expireSnapshots(PImpl->Board.now());
@@ -170,14 +170,14 @@
 
 void ConfigController::onStoreAnswer(const StoreAnswer &Answer,
                                      ActionSink &Sink) {
-  std::optional<NewerConfig> ReadResult = PImpl->Reader.onAnswer(Answer, Sink);
-  if (ReadResult)
-    std::visit(
-        [&](auto &Config) {
-          PImpl->apply(std::move(Config), "the store", Sink);
-        },
-        *ReadResult);
-  PImpl->Reader.onTick(Sink);
+  PImpl->Follower.onAnswer(Answer, Sink);
+  const auto Apply = [&](auto &Config) {
+    return PImpl->apply(std::move(Config), "the store", Sink);
+  };
+  while (auto Newer = PImpl->Follower.nextConfig(Sink))
+    if (!std::visit(Apply, *Newer))
+      break;
+  PImpl->Follower.onTick(Sink);
 }
 
 // Applying.
@@ -272,10 +272,10 @@
 void ConfigController::Impl::fetchFromPeers(ActionSink &Sink) {
   if (Fetch.isExpired(Board.now()))
     dropPeer("sent no complete document within 2 s", LogLevel::Warning, Sink);
-  const bool ShouldWaitForStore = Reader.role() == StoreReader::Role::Follow &&
-                                  Reader.isHealthy() &&
-                                  Board.Config.Version != ConfigVersion() &&
-                                  Board.now() - OfferedAt < ReaderGrace;
+  const bool ShouldWaitForStore =
+      Follower.role() == ConfigFollower::Role::Follow && Follower.isHealthy() &&
+      Board.Config.Version != ConfigVersion() &&
+      Board.now() - OfferedAt < ReaderGrace;
   if (!Fetch.isActive() && !Offers.empty() && !ShouldWaitForStore) {
     const InstanceId Peer = choosePeer();
     if (Peer != InstanceId())
--- a/src/engine_io.h
+++ b/src/engine_io.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "messages.h"
+#include "store_sync.h"
 #include "types.h"
 
 namespace indigopoint {
@@ -21,21 +22,9 @@
 /// Lets the engine check its timers. Sent every TickInterval.
 struct Tick {};
 
-enum class StoreStatus : uint8_t {
-  Found,
-  NotFound,
-  /// A watch ended without a change.
-  Unchanged,
-  /// No answer, or an error of the store.
-  Failed
-};
-
 struct StoreAnswer {
   StoreCallId Call;
-  StoreStatus Status = StoreStatus::Failed;
-  /// The store's revision of the key.
-  uint64_t Revision = 0;
-  std::string Value;
+  StoreResult Result;
 };
 
 enum class HealthStatus : uint8_t { Healthy, Unhealthy, Draining, NoAnswer };
@@ -75,17 +64,10 @@
   Message Body;
 };
 
-enum class StoreCallKind : uint8_t { Get, Watch };
-
-/// Reads a key. A watch is answered once the key's revision exceeds \c After,
-/// or after \c Wait.
+/// Reads the keys of the configuration in the platform's store.
 struct StoreCall {
   StoreCallId Id;
-  StoreCallKind Kind = StoreCallKind::Get;
-  std::string Key;
-  /// The revision after which a watch reports changes.
-  uint64_t After = 0;
-  Duration Wait{};
+  StoreQuery Query;
 };
 
 struct LogLine {
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -1,6 +1,7 @@
 #include "platform_client.h"
 
 #include <charconv>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -13,36 +14,55 @@
 // The platform answers within milliseconds; a longer time indicates an outage.
 constexpr Duration CallTimeout = std::chrono::seconds(2);
 
-uint64_t revisionOf(const HttpResult &Result) {
-  uint64_t Revision = 0;
-  const auto It = Result.Headers.find("x-revision");
-  if (It != Result.Headers.end())
+// Rises each time the store returns from an older copy.
+constexpr const char *EraHeader = "x-store-era";
+
+uint64_t eraOf(const HttpResult &Answer) {
+  uint64_t Era = 0;
+  const auto It = Answer.Headers.find(EraHeader);
+  if (It != Answer.Headers.end())
     std::from_chars(It->second.data(), It->second.data() + It->second.size(),
-                    Revision);
-  return Revision;
+                    Era);
+  return Era;
+}
+
+StoreItem toItem(const Json &Item) {
+  StoreItem Out;
+  Out.Key = Item.at("key").get<std::string>();
+  Out.Revision = Item.at("revision").get<uint64_t>();
+  Out.Deleted = Item.value("deleted", false);
+  if (!Out.Deleted)
+    Out.Value = Item.at("value").get<std::string>();
+  return Out;
 }
 
 } // namespace
 
-StoreAnswer toStoreAnswer(StoreCallId Call, const HttpResult &Result) {
-  StoreAnswer Answer{Call, StoreStatus::Failed, 0, {}};
-  if (Result.Status == 304 || Result.Status == 404) {
-    Answer.Status =
-        Result.Status == 304 ? StoreStatus::Unchanged : StoreStatus::NotFound;
-    Answer.Revision = revisionOf(Result);
-    return Answer;
+StoreResult toStoreResult(const HttpResult &Answer) {
+  StoreResult Out;
+  if (Answer.Status == 410) {
+    Out.ResultStatus = StoreResult::Status::HistoryLost;
+    Out.Position.Era = eraOf(Answer);
+    return Out;
+  }
+  if (Answer.Status != 200) {
+    Out.Problem = Answer.Status == 0
+                      ? "no answer in time"
+                      : "status " + std::to_string(Answer.Status);
+    return Out;
   }
-  if (Result.Status != 200)
-    return Answer;
   try {
-    const Json Body = Json::parse(Result.Body);
-    Answer.Value = Body.at("value").get<std::string>();
-    Answer.Revision = Body.at("revision").get<uint64_t>();
-    Answer.Status = StoreStatus::Found;
-  } catch (const Json::exception &) {
-    Answer.Value.clear();
+    const Json Body = Json::parse(Answer.Body);
+    for (const Json &Item : Body.at("items"))
+      Out.Items.push_back(toItem(Item));
+    Out.MorePages = Body.value("more", false);
+    Out.Position = {eraOf(Answer), Body.at("revision").get<uint64_t>()};
+    Out.ResultStatus = StoreResult::Status::Answered;
+  } catch (const Json::exception &Error) {
+    Out = {};
+    Out.Problem = Error.what();
   }
-  return Answer;
+  return Out;
 }
 
 bool parseInstanceList(const std::string &Text, InstanceListObserved &Out) {
@@ -64,22 +84,26 @@
   return true;
 }
 
-PlatformClient::PlatformClient(EventLoop &Loop, Endpoint Platform)
-    : Platform(Platform), Http(Loop) {}
+PlatformClient::PlatformClient(EventLoop &Loop, Endpoint Platform,
+                               std::string StorePrefix)
+    : Platform(Platform), StorePrefix(std::move(StorePrefix)), Http(Loop) {}
 
 void PlatformClient::call(const StoreCall &Call, AnswerHook OnAnswer) {
+  const StoreQuery &Query = Call.Query;
+  const std::string Prefix = "?prefix=" + encodePath(StorePrefix);
   HttpCall Request;
   Request.To = Platform;
-  Request.Target = "/v1/kv/" + encodePath(Call.Key);
-  Request.Timeout = CallTimeout;
-  if (Call.Kind == StoreCallKind::Watch) {
-    Request.Target += "?after=" + std::to_string(Call.After) +
-                      "&wait_ms=" + std::to_string(millisecondsOf(Call.Wait));
-    Request.Timeout += Call.Wait;
-  }
+  Request.Target =
+      Query.QueryKind == StoreQuery::Kind::Snapshot
+          ? "/v1/kv-range" + Prefix + "&after_key=" + encodePath(Query.AfterKey)
+          : "/v1/kv-watch" + Prefix +
+                "&after=" + std::to_string(Query.AfterRevision) +
+                "&wait_ms=" + std::to_string(millisecondsOf(Query.Wait));
+  Request.Timeout = Query.Timeout;
+  Request.IdleTimeout = Query.IdleTimeout;
   Http.call(Request, [Id = Call.Id, OnAnswer = std::move(OnAnswer)](
-                         const HttpResult &Result) {
-    OnAnswer(toStoreAnswer(Id, Result));
+                         const HttpResult &Answer) {
+    OnAnswer({Id, toStoreResult(Answer)});
   });
 }
 
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "engine_io.h"
 #include "http_client.h"
@@ -15,7 +16,8 @@
   using AnswerHook = std::function<void(StoreAnswer)>;
   using ListHook = std::function<void(InstanceListObserved)>;
 
-  PlatformClient(EventLoop &Loop, Endpoint Platform);
+  /// \p StorePrefix is the prefix of all keys that are read.
+  PlatformClient(EventLoop &Loop, Endpoint Platform, std::string StorePrefix);
 
   /// Makes a store call. The hook is always called; if the platform does not
   /// answer, it gets a failed answer.
@@ -26,11 +28,12 @@
 
 private:
   Endpoint Platform;
+  std::string StorePrefix;
   HttpClient Http;
 };
 
-/// Converts the platform's answer to a store call into a StoreAnswer.
-StoreAnswer toStoreAnswer(StoreCallId Call, const HttpResult &Result);
+/// Converts the platform's answer to a store call.
+StoreResult toStoreResult(const HttpResult &Answer);
 
 /// Parses the platform's list of instances. Returns false if it is malformed.
 bool parseInstanceList(const std::string &Text, InstanceListObserved &Out);
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -48,7 +48,7 @@
 struct Server::Impl {
   Impl(EventLoop &Loop, const ProcessSettings &Settings, StopHook OnStop)
       : Loop(Loop), Settings(Settings), OnStop(std::move(OnStop)), Admin(Loop),
-        Platform(Loop, Settings.Platform) {}
+        Platform(Loop, Settings.Platform, Settings.StorePrefix) {}
 
   std::string start();
   void startEngine();
--- a/src/store_mirror.cpp
+++ b/src/store_mirror.cpp
@@ -75,6 +75,11 @@
   });
 }
 
+const StoreItem *StoreMirror::find(const std::string &Key) const {
+  const auto It = Items.find(Key);
+  return It == Items.end() || It->second.Deleted ? nullptr : &It->second;
+}
+
 std::optional<std::vector<StoreItem>>
 StoreMirror::since(StorePosition After) const {
   if (!Loaded || After.Era != Position.Era || After.Revision < BaseRevision)
--- a/src/store_mirror.h
+++ b/src/store_mirror.h
@@ -28,6 +28,9 @@
   bool isLoaded() const { return Loaded; }
   StorePosition position() const { return Position; }
 
+  /// Returns an item, or null if the key does not exist.
+  const StoreItem *find(const std::string &Key) const;
+
   /// Returns the changes after \p After in the order of their keys. Returns
   /// nothing if some of the changes are no longer available.
   std::optional<std::vector<StoreItem>> since(StorePosition After) const;
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -32,9 +32,6 @@
 // While the store does not answer, calls alternate between the store and peers.
 constexpr Duration DelayAfterPeerCall = std::chrono::milliseconds(100);
 
-constexpr Duration FirstRetry = std::chrono::milliseconds(100);
-constexpr Duration MaxRetry = std::chrono::milliseconds(800);
-
 } // namespace
 
 std::string_view nameOf(StoreResult::Status Value) {
@@ -160,7 +157,7 @@
 // Random jitter spreads the retries of instances that failed at the same time.
 Duration StoreSync::retryDelay() {
   const Duration Backoff =
-      std::min(FirstRetry * (1 << std::min(Failures, 8U)), MaxRetry);
+      std::min(Retries.First * (1 << std::min(Failures, 8U)), Retries.Max);
   return Backoff / 2 + Duration(Random.below(Backoff.count()));
 }
 
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -94,6 +94,13 @@
 
 std::string_view nameOf(StoreResult::Status Value);
 
+/// The delay before a call to the store is repeated. It starts at First,
+/// doubles with each failure up to Max, and is varied at random by half of it.
+struct RetryDelays {
+  Duration First = std::chrono::milliseconds(100);
+  Duration Max = std::chrono::milliseconds(800);
+};
+
 /// Follows all keys of the store: reads a snapshot, then watches for changes
 /// after its revision. Determines the calls and their times, but makes no calls
 /// itself.
@@ -139,9 +146,9 @@
 
   /// \p DelayAfterChange is the time from a change to the next call.
   StoreSync(const Clock &TimeSource, RandomSource &Random,
-            Duration DelayAfterChange)
+            Duration DelayAfterChange, RetryDelays Retries = {})
       : TimeSource(TimeSource), Random(Random),
-        DelayAfterChange(DelayAfterChange) {}
+        DelayAfterChange(DelayAfterChange), Retries(Retries) {}
 
   /// Returns whether a call is due and no call is pending.
   bool isDue() const;
@@ -187,6 +194,7 @@
   const Clock &TimeSource;
   RandomSource &Random;
   Duration DelayAfterChange;
+  RetryDelays Retries;
   bool IsCallPending = false;
   /// Whether the next call has to confirm the current data at once.
   bool NeedsConfirmation = false;
--- a/standins/kv_store.cpp
+++ b/standins/kv_store.cpp
@@ -21,6 +21,21 @@
   return Keys;
 }
 
+std::vector<KvChange> KvStore::changesAfter(uint64_t Revision,
+                                            const std::string &Prefix) const {
+  std::vector<KvChange> Changes;
+  for (auto It = StoredKeys.lower_bound(Prefix);
+       It != StoredKeys.end() && It->first.starts_with(Prefix); ++It) {
+    const auto &[Key, Entry] = *It;
+    if (Entry.ChangedRevision <= Revision)
+      continue;
+    Changes.push_back({Key, std::nullopt, Entry.ChangedRevision});
+    if (Entry.Current)
+      Changes.back().Value = Entry.Current->Value;
+  }
+  return Changes;
+}
+
 bool KvStore::matches(const StoredKey &Entry,
                       std::optional<uint64_t> Expected) const {
   const uint64_t Revision = Entry.Current ? Entry.Current->Revision : 0;
@@ -32,6 +47,7 @@
   StoredKey &Entry = StoredKeys[Key];
   Entry.Previous = std::move(Entry.Current);
   Entry.Current = std::move(NewEntry);
+  Entry.ChangedRevision = LastRevision;
   Entry.Lease = Lease;
   OnChange(Key);
 }
--- a/standins/kv_store.h
+++ b/standins/kv_store.h
@@ -18,6 +18,14 @@
   uint64_t Revision = 0;
 };
 
+/// The last change of a key.
+struct KvChange {
+  std::string Key;
+  /// Not set if the key was deleted.
+  std::optional<std::string> Value;
+  uint64_t Revision = 0;
+};
+
 enum class WriteStatus : uint8_t { Written, Conflict, TooLarge, NoLease };
 
 /// A key-value store with compare-and-swap and leases. Revisions are global
@@ -39,6 +47,12 @@
   /// The entry of \p Key before its last change.
   std::optional<KvEntry> findPrevious(const std::string &Key) const;
   std::vector<std::string> keys(const std::string &Prefix) const;
+  /// The last change of each key that was changed after \p Revision, in the
+  /// order of the keys.
+  std::vector<KvChange> changesAfter(uint64_t Revision,
+                                     const std::string &Prefix) const;
+  /// The revision of the last change of any key.
+  uint64_t revision() const { return LastRevision; }
 
   /// Writes a key. With \p Expected, writes only if the key has this revision;
   /// 0 stands for an absent key. A \p Lease of 0 means no lease.
@@ -56,6 +70,7 @@
   struct StoredKey {
     std::optional<KvEntry> Current;
     std::optional<KvEntry> Previous;
+    uint64_t ChangedRevision = 0;
     uint64_t Lease = 0;
   };
   struct Lease {
--- a/standins/platform_api.cpp
+++ b/standins/platform_api.cpp
@@ -1,5 +1,7 @@
 #include "platform_api.h"
 
+#include <algorithm>
+
 namespace indigopoint::standin {
 
 using Json = nlohmann::json;
@@ -9,21 +11,41 @@
 constexpr std::string_view KeyPath = "/v1/kv/";
 constexpr std::string_view LeasePath = "/v1/lease";
 
+// Items in one answer to a range read.
+constexpr size_t PageItems = 100;
+
 Json toJson(const KvEntry &Entry) {
   return {{"value", Entry.Value}, {"revision", Entry.Revision}};
 }
 
+Json toJson(const KvChange &Change) {
+  if (!Change.Value)
+    return {
+        {"key", Change.Key}, {"revision", Change.Revision}, {"deleted", true}};
+  return {{"key", Change.Key},
+          {"revision", Change.Revision},
+          {"value", *Change.Value}};
+}
+
+std::string parameter(const HttpRequest &Request, const std::string &Name) {
+  const auto It = Request.Query.find(Name);
+  return It == Request.Query.end() ? "" : It->second;
+}
+
 // The name under which a call is counted.
 std::string kindOf(const HttpRequest &Request) {
   if (Request.Path.starts_with(KeyPath))
-    return Request.has("after")         ? "watch"
-           : Request.Method == "GET"    ? "get"
+    return Request.Method == "GET"      ? "get"
            : Request.Method == "DELETE" ? "delete"
                                         : "put";
   if (Request.Path.starts_with(LeasePath))
     return "lease";
   if (Request.Path == "/v1/kv-list")
     return "list";
+  if (Request.Path == "/v1/kv-range")
+    return "range";
+  if (Request.Path == "/v1/kv-watch")
+    return "watch";
   return Request.Path == "/v1/instances" ? "instances" : "unknown";
 }
 
@@ -86,42 +108,65 @@
     serveLease(Request.Path.substr(LeasePath.size()), Request, Reply);
   else if (Request.Path == "/v1/instances")
     serveInstances(Request, Reply);
-  else if (Request.Path == "/v1/kv-list") {
-    const auto It = Request.Query.find("prefix");
-    Reply->send(
-        200,
-        {{"keys", Store.keys(It == Request.Query.end() ? "" : It->second)}});
-  } else
+  else if (Request.Path == "/v1/kv-list")
+    Reply->send(200, {{"keys", Store.keys(parameter(Request, "prefix"))}});
+  else if (Request.Path == "/v1/kv-range")
+    readRange(Request, Reply);
+  else if (Request.Path == "/v1/kv-watch")
+    startWatch(Request, Reply);
+  else
     Reply->send(404, {{"error", "no such path"}});
 }
 
 void PlatformApi::serveKey(const std::string &Key, const HttpRequest &Request,
                            const HttpReplyPtr &Reply) {
   if (Request.Method == "GET")
-    read(Key, Request, Reply);
+    read(Key, Reply);
   else
     write(Key, Request, Reply);
 }
 
-void PlatformApi::read(const std::string &Key, const HttpRequest &Request,
-                       const HttpReplyPtr &Reply) {
-  const bool Stale = Faults.consumeStaleRead();
-  if (Request.has("after") && !Stale) {
-    Watches.push_back(
-        {Key, Request.number("after"),
-         Loop.now() + std::chrono::milliseconds(Request.number("wait_ms")),
-         Reply});
-    if (answerWatch(Watches.back()))
-      Watches.pop_back();
-    return;
-  }
-  const auto Entry = Stale ? Store.findPrevious(Key) : Store.find(Key);
+void PlatformApi::read(const std::string &Key, const HttpReplyPtr &Reply) {
+  const auto Entry =
+      Faults.consumeStaleRead() ? Store.findPrevious(Key) : Store.find(Key);
   if (Entry)
     Reply->send(200, toJson(*Entry));
   else
     Reply->send(404, {{"error", "no such key"}});
 }
 
+void PlatformApi::readRange(const HttpRequest &Request,
+                            const HttpReplyPtr &Reply) {
+  const std::string Prefix = parameter(Request, "prefix");
+  const std::string AfterKey = parameter(Request, "after_key");
+  const bool Stale = Faults.consumeStaleRead();
+  Json Items = Json::array();
+  bool HasMore = false;
+  uint64_t Revision = Stale ? 0 : Store.revision();
+  for (const std::string &Key : Store.keys(Prefix)) {
+    const auto Entry = Stale ? Store.findPrevious(Key) : Store.find(Key);
+    if (Key <= AfterKey || !Entry)
+      continue;
+    HasMore = Items.size() == PageItems;
+    if (HasMore)
+      break;
+    Revision = std::max(Revision, Entry->Revision);
+    Items.push_back(toJson(KvChange{Key, Entry->Value, Entry->Revision}));
+  }
+  Reply->send(200,
+              {{"items", Items}, {"more", HasMore}, {"revision", Revision}});
+}
+
+void PlatformApi::startWatch(const HttpRequest &Request,
+                             const HttpReplyPtr &Reply) {
+  Watches.push_back(
+      {parameter(Request, "prefix"), Request.number("after"),
+       Loop.now() + std::chrono::milliseconds(Request.number("wait_ms")),
+       Reply});
+  if (answerWatch(Watches.back()))
+    Watches.pop_back();
+}
+
 void PlatformApi::write(const std::string &Key, const HttpRequest &Request,
                         const HttpReplyPtr &Reply) {
   std::optional<uint64_t> Expected;
@@ -165,26 +210,26 @@
 }
 
 bool PlatformApi::answerWatch(const Watch &PendingWatch) {
-  const auto Entry = Store.find(PendingWatch.Key);
-  if (!Entry || Entry->Revision <= PendingWatch.AfterRevision)
-    return false;
-  PendingWatch.Reply->send(200, toJson(*Entry));
-  return true;
+  Json Items = Json::array();
+  for (const KvChange &Change :
+       Store.changesAfter(PendingWatch.AfterRevision, PendingWatch.Prefix))
+    Items.push_back(toJson(Change));
+  const bool IsAnswered = !Items.empty() || PendingWatch.Deadline <= Loop.now();
+  if (IsAnswered)
+    PendingWatch.Reply->send(
+        200, {{"items", Items}, {"revision", Store.revision()}});
+  return IsAnswered;
 }
 
 void PlatformApi::onChange(const std::string &Key) {
   Watches.remove_if([&](const Watch &PendingWatch) {
-    return PendingWatch.Key == Key && answerWatch(PendingWatch);
+    return Key.starts_with(PendingWatch.Prefix) && answerWatch(PendingWatch);
   });
 }
 
 void PlatformApi::endWatches() {
-  const TimePoint Now = Loop.now();
-  Watches.remove_if([Now](const Watch &PendingWatch) {
-    if (PendingWatch.Deadline > Now)
-      return false;
-    PendingWatch.Reply->send(304);
-    return true;
+  Watches.remove_if([this](const Watch &PendingWatch) {
+    return PendingWatch.Deadline <= Loop.now() && answerWatch(PendingWatch);
   });
 }
 
--- a/standins/platform_api.h
+++ b/standins/platform_api.h
@@ -23,7 +23,7 @@
 
 private:
   struct Watch {
-    std::string Key;
+    std::string Prefix;
     uint64_t AfterRevision;
     TimePoint Deadline;
     HttpReplyPtr Reply;
@@ -33,8 +33,9 @@
   void serve(const HttpRequest &Request, const HttpReplyPtr &Reply);
   void serveKey(const std::string &Key, const HttpRequest &Request,
                 const HttpReplyPtr &Reply);
-  void read(const std::string &Key, const HttpRequest &Request,
-            const HttpReplyPtr &Reply);
+  void read(const std::string &Key, const HttpReplyPtr &Reply);
+  void readRange(const HttpRequest &Request, const HttpReplyPtr &Reply);
+  void startWatch(const HttpRequest &Request, const HttpReplyPtr &Reply);
   void write(const std::string &Key, const HttpRequest &Request,
              const HttpReplyPtr &Reply);
   void serveLease(const std::string &Subpath, const HttpRequest &Request,
--- a/tests/config_controller_test.cpp
+++ b/tests/config_controller_test.cpp
@@ -118,8 +118,10 @@
   EXPECT_EQ(Reader.Board.Config, Expected);
   EXPECT_TRUE(
       hasLogged(Reader, "it holds version 1, but the version in force is 2"));
-  Fleet.Store.Entries.erase(fleetKey(3));
-  Fleet.AlterStoreAnswer = [](StoreAnswer &Answer) { Answer.Revision = 0; };
+  Fleet.Store.remove(fleetKey(3));
+  Fleet.AlterStoreAnswer = [](StoreAnswer &Answer) {
+    Answer.Result.Position.Revision = 0;
+  };
   putSnapshot(1);
   Fleet.run(seconds(70));
   EXPECT_EQ(Reader.Board.Config, Expected);
@@ -404,6 +406,22 @@
   EXPECT_EQ(Encoder.take(), encodeConfiguration(Large));
 }
 
+// Guards against a reader that reverts to the older copy of a restored store,
+// or that waits for a revision that the store gives out again.
+TEST_F(ConfigControllerTest, ReaderGoesOnAfterTheStoreIsRestored) {
+  Node &Reader = Fleet.add("lim-a-0", "lim-a");
+  putChanges(1, 2);
+  ASSERT_LT(Fleet.runUntil(2, seconds(10)), seconds(5));
+  Fleet.Store.copy();
+  putChanges(3, 4);
+  ASSERT_LT(Fleet.runUntil(4, seconds(10)), seconds(5));
+  Fleet.Store.restore();
+  Fleet.run(seconds(12));
+  EXPECT_EQ(Reader.version(), 4U);
+  putChanges(3, 5);
+  EXPECT_LT(Fleet.runUntil(5, seconds(10)), seconds(5));
+}
+
 // Guards against a zone without readers after both readers died.
 TEST_F(ConfigControllerTest, DeadReadersAreReplaced) {
   addNodes({"lim-a"}, 6);
--- a/tests/config_fleet.cpp
+++ b/tests/config_fleet.cpp
@@ -124,7 +124,8 @@
       ++From.StoreCalls;
       From.MaxPendingCalls =
           std::max(From.MaxPendingCalls, ++From.PendingCalls);
-      ++(Call->Kind == StoreCallKind::Watch ? Store.Watches : Store.Reads);
+      ++(Call->Query.QueryKind == StoreQuery::Kind::Watch ? Store.Watches
+                                                          : Store.Reads);
       Calls.push_back({Index, std::move(*Call), TimeSource.Now});
     } else if (auto *Line = std::get_if<LogLine>(&Item)) {
       From.Log.push_back(Line->Text);
@@ -166,21 +167,14 @@
   if (TimeSource.Now - Pending.StartedAt < std::chrono::milliseconds(2))
     return false;
   Node &Caller = *Nodes[Pending.Caller];
-  StoreAnswer Answer;
-  Answer.Call = Pending.Call.Id;
-  const auto It = Store.Entries.find(Pending.Call.Key);
-  if (Store.Down || !StoreReachable(Caller)) {
-    Answer.Status = StoreStatus::Failed;
-  } else if (It != Store.Entries.end()) {
-    Answer = {Pending.Call.Id, StoreStatus::Found, It->second.Revision,
-              It->second.Value};
-  } else if (Pending.Call.Kind == StoreCallKind::Get) {
-    Answer.Status = StoreStatus::NotFound;
-  } else if (TimeSource.Now - Pending.StartedAt >= Pending.Call.Wait) {
-    Answer.Status = StoreStatus::Unchanged;
-  } else {
+  const StoreQuery &Query = Pending.Call.Query;
+  StoreAnswer Answer{Pending.Call.Id, {}};
+  if (!Store.Down && StoreReachable(Caller))
+    Answer.Result = Store.answer(Query);
+  if (Answer.Result.ResultStatus == StoreResult::Status::Answered &&
+      Answer.Result.Items.empty() &&
+      TimeSource.Now - Pending.StartedAt < Query.Wait)
     return false;
-  }
   AlterStoreAnswer(Answer);
   --Caller.PendingCalls;
   ActionSink Sink;
--- a/tests/config_fleet.h
+++ b/tests/config_fleet.h
@@ -9,25 +9,16 @@
 #include "blackboard.h"
 #include "config_controller.h"
 #include "manual_clock.h"
+#include "model_store.h"
 #include "peer_link.h"
 
 namespace indigopoint {
 
-/// A fake of the platform's key-value store.
-struct FleetStore {
-  struct Entry {
-    std::string Value;
-    uint64_t Revision = 0;
-  };
-  std::map<std::string, Entry> Entries;
+/// The platform's key-value store, which counts its calls.
+struct FleetStore : ModelStore {
   bool Down = false;
   uint64_t Reads = 0;
   uint64_t Watches = 0;
-  uint64_t NextRevision = 1;
-
-  void put(const std::string &Key, std::string Value) {
-    Entries[Key] = {std::move(Value), NextRevision++};
-  }
 };
 
 /// Configuration controllers that exchange versions and datagrams in virtual
--- a/tests/engine_fixture.h
+++ b/tests/engine_fixture.h
@@ -11,6 +11,7 @@
 #include "config_codec.h"
 #include "decision_engine.h"
 #include "manual_clock.h"
+#include "model_store.h"
 
 namespace indigopoint {
 
@@ -104,7 +105,7 @@
   }
   /// Puts a value into the store and answers the pending watches.
   void put(const std::string &Key, const std::string &Value) {
-    Store[Key] = Value;
+    Store.put(Key, Value);
     for (auto &[Name, N] : Nodes)
       for (size_t Remaining = N.Watches.size(); Remaining > 0; --Remaining) {
         StoreCall Call = std::move(N.Watches.front());
@@ -180,17 +181,16 @@
                                                   std::move(Out.Body)}});
   }
   void perform(Node &From, StoreCall &Call) {
-    if (StoreDown) {
-      handle(From, StoreAnswer{Call.Id, StoreStatus::Failed, 0, ""});
-      return;
-    }
-    const auto It = Store.find(Call.Key);
-    if (It != Store.end())
-      handle(From, StoreAnswer{Call.Id, StoreStatus::Found, 1, It->second});
-    else if (Call.Kind == StoreCallKind::Watch)
+    StoreAnswer Answer{Call.Id, {}};
+    if (!StoreDown)
+      Answer.Result = Store.answer(Call.Query);
+    const bool IsWaiting =
+        Answer.Result.ResultStatus == StoreResult::Status::Answered &&
+        Call.Query.Wait > Duration() && Answer.Result.Items.empty();
+    if (IsWaiting)
       From.Watches.push_back(std::move(Call));
     else
-      handle(From, StoreAnswer{Call.Id, StoreStatus::NotFound, 0, ""});
+      handle(From, std::move(Answer));
   }
   void perform(Node &From, LogLine &Line) {
     From.Log.push_back(std::move(Line));
@@ -202,7 +202,7 @@
   uint16_t PortCount = 0;
   std::multimap<TimePoint, DatagramInTransit> DatagramsInTransit;
   std::map<std::pair<std::string, std::string>, Link> Links;
-  std::map<std::string, std::string> Store;
+  ModelStore Store;
 };
 
 } // namespace indigopoint
--- a/tests/platform_client_test.cpp
+++ b/tests/platform_client_test.cpp
@@ -9,30 +9,44 @@
 namespace indigopoint {
 namespace {
 
-StoreAnswer answerFor(int Status, const std::string &Body) {
-  return toStoreAnswer(StoreCallId(1), {Status, Body, {{"x-revision", "9"}}});
+using Status = StoreResult::Status;
+
+StoreResult resultFor(int Code, const std::string &Body) {
+  return toStoreResult({Code, Body, {{"x-store-era", "3"}}});
 }
 
-TEST(PlatformClient, HttpStatusBecomesStoreStatus) {
-  const StoreAnswer FoundAnswer =
-      answerFor(200, R"({"value":"v","revision":4})");
-  EXPECT_EQ(FoundAnswer.Status, StoreStatus::Found);
-  EXPECT_EQ(FoundAnswer.Value, "v");
-  EXPECT_EQ(FoundAnswer.Revision, 4U);
-  EXPECT_EQ(answerFor(404, "").Status, StoreStatus::NotFound);
-  EXPECT_EQ(answerFor(404, "").Revision, 9U);
-  EXPECT_EQ(answerFor(304, "").Status, StoreStatus::Unchanged);
+TEST(PlatformClient, AnswersBecomeStoreResults) {
+  const StoreResult Found =
+      resultFor(200, R"({"revision":9,"more":true,"items":[
+               {"key":"a","value":"v","revision":4},
+               {"key":"b","revision":5,"deleted":true}]})");
+  EXPECT_EQ(Found.ResultStatus, Status::Answered);
+  EXPECT_EQ(Found.Position, (StorePosition{3, 9}));
+  EXPECT_TRUE(Found.MorePages);
+  ASSERT_EQ(Found.Items.size(), 2U);
+  EXPECT_EQ(Found.Items[0].Key, "a");
+  EXPECT_EQ(Found.Items[0].Value, "v");
+  EXPECT_EQ(Found.Items[0].Revision, 4U);
+  EXPECT_FALSE(Found.Items[0].Deleted);
+  EXPECT_TRUE(Found.Items[1].Deleted);
+  EXPECT_EQ(resultFor(410, "").ResultStatus, Status::HistoryLost);
+  EXPECT_EQ(resultFor(410, "").Position.Era, 3U);
 }
 
-// Guards against an error of the store that is treated as a missing key.
+// Guards against an error of the store that is treated as missing keys.
 TEST(PlatformClient, OtherAnswersAreFailures) {
-  for (const int Status : {0, 301, 400, 500, 503})
-    EXPECT_EQ(answerFor(Status, "").Status, StoreStatus::Failed);
+  for (const int Code : {0, 301, 304, 400, 404, 500, 503})
+    EXPECT_EQ(resultFor(Code, "").ResultStatus, Status::Failed);
   for (const std::string Body :
-       {"", "{}", "[]", R"({"value":1,"revision":4})", R"({"value":"v"})",
-        R"({"value":"v","revision":"4"})", R"({"value":"v")"}) {
-    EXPECT_EQ(answerFor(200, Body).Status, StoreStatus::Failed) << Body;
-    EXPECT_EQ(answerFor(200, Body).Value, "") << Body;
+       {"", "{}", "[]", R"({"items":[]})", R"({"revision":4})",
+        R"({"revision":"4","items":[]})", R"({"revision":4,"items":[1]})",
+        R"({"revision":4,"items":[{"key":"a","value":1,"revision":4}]})",
+        R"({"revision":4,"items":[{"key":"a","value":"v"}]})",
+        R"({"revision":4,"items":[{"key":"a","revision":4}]})",
+        R"({"revision":4,"items":[])"}) {
+    EXPECT_EQ(resultFor(200, Body).ResultStatus, Status::Failed) << Body;
+    EXPECT_TRUE(resultFor(200, Body).Items.empty()) << Body;
+    EXPECT_NE(resultFor(200, Body).Problem, "") << Body;
   }
 }
 
@@ -65,36 +79,55 @@
   EXPECT_EQ(StatusOf(500, R"({"status":"healthy"})"), HealthStatus::NoAnswer);
 }
 
-TEST(PlatformClient, WatchRequestContainsRevisionAndWait) {
+// Guards against calls that read keys of other programs or start over.
+TEST(PlatformClient, RequestsContainPrefixPositionAndWait) {
   EventLoop Loop;
   HttpServer Platform(Loop);
   ASSERT_FALSE(Platform.open(AnyPort));
   HttpRequest ReceivedRequest;
-  Platform.route("GET", "/v1/kv/",
-                 [&](const HttpRequest &Request, const auto &Respond) {
-                   ReceivedRequest = Request;
-                   Respond({304, ""});
-                 });
-  PlatformClient Client(Loop, Platform.address());
-  StoreAnswer Answer;
-  Client.call({StoreCallId(3), StoreCallKind::Watch, "indigopoint/change/1", 5,
-               std::chrono::seconds(1)},
-              [&](StoreAnswer Reply) { Answer = std::move(Reply); });
-  EXPECT_TRUE(runUntil(Loop, [&] { return Answer.Call == StoreCallId(3); }));
-  EXPECT_EQ(Answer.Status, StoreStatus::Unchanged);
-  EXPECT_EQ(ReceivedRequest.Path, "/v1/kv/indigopoint/change/1");
+  for (const char *Path : {"/v1/kv-range", "/v1/kv-watch"})
+    Platform.route("GET", Path,
+                   [&](const HttpRequest &Request, const auto &Respond) {
+                     ReceivedRequest = Request;
+                     Respond({200, R"({"revision":5,"items":[]})"});
+                   });
+  PlatformClient Client(Loop, Platform.address(), "a/");
+  uint64_t LastCall = 0;
+  const auto Call = [&](const StoreQuery &Query) {
+    StoreAnswer Answer;
+    Client.call({StoreCallId(++LastCall), Query},
+                [&](StoreAnswer Reply) { Answer = std::move(Reply); });
+    EXPECT_TRUE(
+        runUntil(Loop, [&] { return Answer.Call == StoreCallId(LastCall); }));
+    EXPECT_EQ(Answer.Result.ResultStatus, Status::Answered);
+    EXPECT_EQ(ReceivedRequest.Query.at("prefix"), "a/");
+  };
+  StoreQuery Query;
+  Query.AfterKey = "a/b";
+  Query.Timeout = std::chrono::seconds(1);
+  Call(Query);
+  EXPECT_EQ(ReceivedRequest.Path, "/v1/kv-range");
+  EXPECT_EQ(ReceivedRequest.Query.at("after_key"), "a/b");
+  Query.QueryKind = StoreQuery::Kind::Watch;
+  Query.AfterRevision = 5;
+  Query.Wait = std::chrono::seconds(1);
+  Call(Query);
+  EXPECT_EQ(ReceivedRequest.Path, "/v1/kv-watch");
   EXPECT_EQ(ReceivedRequest.Query.at("after"), "5");
   EXPECT_EQ(ReceivedRequest.Query.at("wait_ms"), "1000");
 }
 
 TEST(PlatformClient, CallToUnreachableStoreFails) {
   EventLoop Loop;
-  PlatformClient Client(Loop, {0x7f000001, 1});
-  StoreAnswer Answer{{}, StoreStatus::Found, 0, ""};
-  Client.call({StoreCallId(3), StoreCallKind::Get, "k", 0, {}},
+  PlatformClient Client(Loop, {0x7f000001, 1}, "a/");
+  StoreAnswer Answer;
+  Answer.Result.ResultStatus = Status::Answered;
+  StoreQuery Query;
+  Query.Timeout = std::chrono::seconds(1);
+  Client.call({StoreCallId(3), Query},
               [&](StoreAnswer Reply) { Answer = std::move(Reply); });
   EXPECT_TRUE(runUntil(Loop, [&] { return Answer.Call == StoreCallId(3); }));
-  EXPECT_EQ(Answer.Status, StoreStatus::Failed);
+  EXPECT_EQ(Answer.Result.ResultStatus, Status::Failed);
 }
 
 } // namespace
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -1,6 +1,7 @@
 #include "server.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include "config_codec.h"
 #include "http_client.h"
@@ -28,9 +29,10 @@
           EXPECT_FALSE(decodeDatagram(Bytes, Origin, LastMessage));
         }));
     Platform.route("GET", "/v1/instances", respondWith(R"({"instances":[]})"));
-    Platform.route("GET", "/v1/kv/",
-                   [this](const HttpRequest &Call, const auto &Respond) {
-                     onStoreCall(Call, Respond);
+    Platform.route("GET", "/v1/kv-range", respondWith(storeContents()));
+    Platform.route("GET", "/v1/kv-watch",
+                   [this](const HttpRequest &, const auto &Respond) {
+                     PendingWatches.push_back(Respond);
                    });
     Health.route("GET", "/health",
                  [this](const HttpRequest &, const auto &Respond) {
@@ -53,8 +55,7 @@
     };
   }
 
-  void onStoreCall(const HttpRequest &Call,
-                   const HttpServer::Respond &Respond) {
+  std::string storeContents() {
     ConfigChange Change;
     Change.Version = ConfigVersion(1);
     Change.ChangeId = "first";
@@ -67,23 +68,10 @@
                                  "lim-a", Upstream.address(),
                                  Health.address()});
     Change.ChangedServices.push_back(Service);
-    if (Call.Path == "/v1/kv/indigopoint/change/1")
-      Respond({200, "{\"revision\":1,\"value\":" +
-                        quoted(encodeChange(Change)) + "}"});
-    else if (Call.Query.contains("after"))
-      PendingWatches.push_back(Respond);
-    else
-      Respond({404, "", "", {{"X-Revision", "1"}}});
-  }
-
-  static std::string quoted(const std::string &Text) {
-    std::string Out = "\"";
-    for (const char Letter : Text) {
-      if (Letter == '"' || Letter == '\\')
-        Out += '\\';
-      Out += Letter;
-    }
-    return Out + "\"";
+    const nlohmann::json Item = {{"key", "indigopoint/change/1"},
+                                 {"revision", 1},
+                                 {"value", encodeChange(Change)}};
+    return nlohmann::json({{"revision", 1}, {"items", {Item}}}).dump();
   }
 
   void onDispatch(Endpoint From, std::string_view Bytes) {
