--- a/bench/steering_bench.cpp
+++ b/bench/steering_bench.cpp
@@ -54,14 +54,12 @@
   RouteTable Routes;
   UpstreamRegistry Upstreams;
   SteeringMetrics Metrics;
-  FlowSteering Steering{
-      {"a", makeZoneAwareLeastFlowsPolicy("a")},
-      TimeSource,
-      Routes,
-      Upstreams,
-      Metrics,
-      {[](const FlowAddress &, const Upstream &) {}, [](const Upstream &) {},
-       [](const PacketHeader &, const SteeringDecision &) {}}};
+  FlowSteering Steering{{"a", makeZoneAwareLeastFlowsPolicy("a")},
+                        TimeSource,
+                        Routes,
+                        Upstreams,
+                        Metrics,
+                        {}};
 };
 
 /// Nanoseconds for the opening packet of a new flow.
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -70,15 +70,9 @@
     Flows.erase(Packet.Flow);
     Flow = nullptr;
   }
-  if (Flow == nullptr) {
-    // A retransmitted opening may be open through another instance.
-    if (!IsRetransmission)
-      if (auto Inputs = Admission.refusalOf(*MatchedRoute, Packet.Flow))
-        return {SteeringAction::Reset, SteeringReason::Overloaded, nullptr,
-                std::move(Inputs)};
+  if (Flow == nullptr)
     return assignNewUpstream(Packet, *MatchedRoute, nullptr,
                              checkPreviousOpening(Packet.Flow));
-  }
   Upstream *CurrentUpstream = Upstreams.find(Flow->Upstream);
   Flow->LastSeen = TimeSource.now();
   // A delayed first copy must not reach an upstream that takes no new flows any
@@ -303,10 +297,6 @@
       Flow.RequestSentAt = Now;
       recordWait(Target);
       Exchanges.recordRequest(Packet.Flow, Flow, Target);
-      const Route *MatchedRoute = Routes.find(Packet.Flow.ServiceAddress);
-      Admission.startExchange(
-          Packet.Flow, Flow, Target.Registration.Service,
-          MatchedRoute == nullptr ? Duration() : MatchedRoute->TimeLimit);
     }
   }
   if (IsRetransmission) {
@@ -332,7 +322,6 @@
   if (Flow.RequestSentAt && !Flow.HasRetransmitted)
     Target.ResponseTimes.record(Now - *Flow.RequestSentAt, Now);
   ExchangeMonitor::recordAnswer(Flow, Target, Now);
-  Admission.recordAnswer(Flow, Target.Registration.Service);
   Flow.RequestSentAt.reset();
   Flow.HighestAck = Packet.AckNumber;
   Flow.HasRetransmitted = false;
@@ -371,8 +360,6 @@
   clearPendingOpening(Flow);
   Exchanges.end(Flow);
   Upstream *OldUpstream = Upstreams.find(Flow.Upstream);
-  if (OldUpstream != nullptr)
-    Admission.endExchange(Flow, OldUpstream->Registration.Service);
   if (Flow.CurrentPhase == SteeredFlow::Phase::Closing)
     return;
   if (OldUpstream != nullptr && OldUpstream->OpenFlows > 0)
@@ -398,8 +385,6 @@
   Exchanges.reportOverdue(Now);
   Exchanges.expire(Now);
   Upstreams.expire(Now, FlowLifetime);
-  Admission.sweep(
-      [this](const FlowAddress &Address) { return Flows.find(Address); });
   Warmups.expire(Now);
   std::erase_if(RetransmittingFlows, [this](const auto &Entry) {
     const SteeredFlow *Flow = Flows.find(Entry.second);
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -8,7 +8,6 @@
 #include "balancing_policy.h"
 #include "clock.h"
 #include "exchange_monitor.h"
-#include "flow_admission.h"
 #include "packet.h"
 #include "reachability_gate.h"
 #include "route_table.h"
@@ -33,24 +32,23 @@
     Endpoint Self = {};
     /// Gets the openings and answers; may be null.
     ReachabilityGate *Gate = nullptr;
-    AdmissionOptions Admission = {};
   };
 
   struct Hooks {
     /// Called when an opening packet was not answered within OpenTimeout.
-    std::function<void(const FlowAddress &, const Upstream &)> OnOpenTimeout;
+    std::function<void(const FlowAddress &, const Upstream &)> OnOpenTimeout =
+        [](const FlowAddress &, const Upstream &) {};
     /// Asks the caller to check whether the upstream accepts connections and
     /// to pass the result to recordCheckResult.
-    std::function<void(const Upstream &)> OnCheckNeeded;
+    std::function<void(const Upstream &)> OnCheckNeeded = [](const Upstream &) {
+    };
     /// Asks the caller to reset a flow without a packet to decide on. The
     /// packet has the flow's address and last acknowledgement number.
-    std::function<void(const PacketHeader &, const SteeringDecision &)> OnReset;
+    std::function<void(const PacketHeader &, const SteeringDecision &)>
+        OnReset = [](const PacketHeader &, const SteeringDecision &) {};
     /// Returns whether what is known of the store may be out of date after a
     /// pause of the process. Opening packets are then dropped.
     std::function<bool()> IsOutdated = [] { return false; };
-    /// Returns the time of day, by which all instances change the clients that
-    /// they refuse under overload.
-    FlowAdmission::WallTimeHook WallTime = {};
     /// Returns the instances that share the limits of upstreams in a zone (see
     /// WarmupLimiter).
     WarmupLimiter::InstancesHook InstancesOfZone = [](const std::string &) {
@@ -75,8 +73,6 @@
       : Opts(std::move(Opts)), TimeSource(TimeSource), Routes(Routes),
         Upstreams(Upstreams), Metrics(Metrics), FlowHooks(std::move(FlowHooks)),
         Warmups(this->Opts.Self, this->FlowHooks.InstancesOfZone),
-        Admission({this->Opts.Zone, this->Opts.Admission, this->Opts.Placement},
-                  TimeSource, Upstreams, Metrics, this->FlowHooks.WallTime),
         Exchanges(this->Opts.Zone, this->Opts.Self, Routes, Upstreams, Flows,
                   {this->FlowHooks.OnUnresponsive,
                    this->FlowHooks.OnReportedUnresponsive,
@@ -106,9 +102,6 @@
   /// The number of flows in the table.
   size_t flows() const { return Flows.size(); }
 
-  /// The loads to report to other instances, and those that they reported.
-  ServiceLoadTable &loads() { return Admission.loads(); }
-
 private:
   SteeringDecision decide(const PacketHeader &Packet);
   void onOpenTimeout(const FlowAddress &Address, SteeredFlow &Flow);
@@ -184,7 +177,6 @@
   SteeringMetrics &Metrics;
   Hooks FlowHooks;
   WarmupLimiter Warmups;
-  FlowAdmission Admission;
   SteeredFlowTable Flows;
   ExchangeMonitor Exchanges;
   /// The flow that each client opened last, by the client's address.
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -117,8 +117,7 @@
                 makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
                                               this->Settings.Policy.Placement),
                 this->Settings.Policy.Placement, this->Settings.Policy.Checks,
-                this->Settings.PeerAddress, &Gate,
-                this->Settings.Policy.Admission},
+                this->Settings.PeerAddress, &Gate},
                TimeSource, Routes, Upstreams, Metrics,
                {.OnOpenTimeout =
                     [this](const FlowAddress &Flow,
@@ -138,7 +137,6 @@
                       return Pauses.isOutdated(Follower.sync().confirmedAt(),
                                                TimeSource.now());
                     },
-                .WallTime = [] { return std::chrono::system_clock::now(); },
                 .InstancesOfZone =
                     [this](const std::string &Zone) {
                       return Follower.membersOf(Zone);
@@ -174,12 +172,6 @@
               {[this] { return Follower.recentPeersInZone(); },
                [this](const PeerReport &Report) {
                  Steering.recordPeerEvidence(Report);
-                 Steering.loads().recordPeerReport(Report);
-               },
-               [this] {
-                 return this->Settings.Policy.Admission.Enabled
-                            ? Steering.loads().ownLoads()
-                            : std::vector<ServiceLoad>();
                }}),
       Checks(Loop, this->Settings.Policy.Checks.UseReference,
              [this](UpstreamId Id, bool IsAccepting) {
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -97,19 +97,6 @@
     Out.counter("indigopoint_flows_evacuated_total",
                 "New flows sent to other zones while the own one is evacuated.",
                 {{"service", Name}}, Service.OpenedDuringEvacuation);
-  for (const auto &[Name, Service] : View.Metrics.services())
-    for (const auto &[Priority, Count] : Service.RefusedByPriority)
-      Out.counter("indigopoint_flows_refused_total",
-                  "New flows refused because of overload.",
-                  {{"service", Name}, {"priority", std::to_string(Priority)}},
-                  Count);
-  for (const auto &[Name, Service] : View.Metrics.services())
-    Out.gauge("indigopoint_service_demand",
-              "Requests of the zone that wait for an answer.",
-              {{"service", Name}}, Service.Demand);
-  for (const auto &[Name, Service] : View.Metrics.services())
-    Out.gauge("indigopoint_service_capacity", "Slots of the usable upstreams.",
-              {{"service", Name}}, Service.Capacity);
   for (const auto &[Name, Service] : View.Metrics.services())
     // Opening packets that were not followed by another packet of the flow
     // before the open timeout.
--- a/src/gen/protocol_types.cpp
+++ b/src/gen/protocol_types.cpp
@@ -2391,52 +2391,6 @@
   return *this;
 }
 
-ReportedLoad::~ReportedLoad() noexcept {
-}
-
-
-void ReportedLoad::__set_serviceName(const std::string& val) {
-  this->serviceName = val;
-}
-
-void ReportedLoad::__set_openingsPerSecond(const double val) {
-  this->openingsPerSecond = val;
-}
-
-void ReportedLoad::__set_openExchanges(const double val) {
-  this->openExchanges = val;
-}
-
-void swap(ReportedLoad &a, ReportedLoad &b) {
-  using ::std::swap;
-  swap(a.serviceName, b.serviceName);
-  swap(a.openingsPerSecond, b.openingsPerSecond);
-  swap(a.openExchanges, b.openExchanges);
-}
-
-ReportedLoad::ReportedLoad(const ReportedLoad& other216) {
-  serviceName = other216.serviceName;
-  openingsPerSecond = other216.openingsPerSecond;
-  openExchanges = other216.openExchanges;
-}
-ReportedLoad::ReportedLoad(ReportedLoad&& other217) noexcept {
-  serviceName = std::move(other217.serviceName);
-  openingsPerSecond = other217.openingsPerSecond;
-  openExchanges = other217.openExchanges;
-}
-ReportedLoad& ReportedLoad::operator=(const ReportedLoad& other218) {
-  serviceName = other218.serviceName;
-  openingsPerSecond = other218.openingsPerSecond;
-  openExchanges = other218.openExchanges;
-  return *this;
-}
-ReportedLoad& ReportedLoad::operator=(ReportedLoad&& other219) noexcept {
-  serviceName = std::move(other219.serviceName);
-  openingsPerSecond = other219.openingsPerSecond;
-  openExchanges = other219.openExchanges;
-  return *this;
-}
-
 PeerReport::~PeerReport() noexcept {
 }
 
@@ -2461,10 +2415,6 @@
   this->evidence = val;
 }
 
-void PeerReport::__set_loads(const std::vector<ReportedLoad> & val) {
-  this->loads = val;
-}
-
 void swap(PeerReport &a, PeerReport &b) {
   using ::std::swap;
   swap(a.version, b.version);
@@ -2472,46 +2422,41 @@
   swap(a.zone, b.zone);
   swap(a.sequence, b.sequence);
   swap(a.evidence, b.evidence);
-  swap(a.loads, b.loads);
   swap(a.__isset, b.__isset);
 }
 
-PeerReport::PeerReport(const PeerReport& other232) {
-  version = other232.version;
-  sender = other232.sender;
-  zone = other232.zone;
-  sequence = other232.sequence;
-  evidence = other232.evidence;
-  loads = other232.loads;
-  __isset = other232.__isset;
-}
-PeerReport::PeerReport(PeerReport&& other233) noexcept {
-  version = other233.version;
-  sender = std::move(other233.sender);
-  zone = std::move(other233.zone);
-  sequence = other233.sequence;
-  evidence = std::move(other233.evidence);
-  loads = std::move(other233.loads);
-  __isset = other233.__isset;
-}
-PeerReport& PeerReport::operator=(const PeerReport& other234) {
-  version = other234.version;
-  sender = other234.sender;
-  zone = other234.zone;
-  sequence = other234.sequence;
-  evidence = other234.evidence;
-  loads = other234.loads;
-  __isset = other234.__isset;
-  return *this;
-}
-PeerReport& PeerReport::operator=(PeerReport&& other235) noexcept {
-  version = other235.version;
-  sender = std::move(other235.sender);
-  zone = std::move(other235.zone);
-  sequence = other235.sequence;
-  evidence = std::move(other235.evidence);
-  loads = std::move(other235.loads);
-  __isset = other235.__isset;
+PeerReport::PeerReport(const PeerReport& other222) {
+  version = other222.version;
+  sender = other222.sender;
+  zone = other222.zone;
+  sequence = other222.sequence;
+  evidence = other222.evidence;
+  __isset = other222.__isset;
+}
+PeerReport::PeerReport(PeerReport&& other223) noexcept {
+  version = other223.version;
+  sender = std::move(other223.sender);
+  zone = std::move(other223.zone);
+  sequence = other223.sequence;
+  evidence = std::move(other223.evidence);
+  __isset = other223.__isset;
+}
+PeerReport& PeerReport::operator=(const PeerReport& other224) {
+  version = other224.version;
+  sender = other224.sender;
+  zone = other224.zone;
+  sequence = other224.sequence;
+  evidence = other224.evidence;
+  __isset = other224.__isset;
+  return *this;
+}
+PeerReport& PeerReport::operator=(PeerReport&& other225) noexcept {
+  version = other225.version;
+  sender = std::move(other225.sender);
+  zone = std::move(other225.zone);
+  sequence = other225.sequence;
+  evidence = std::move(other225.evidence);
+  __isset = other225.__isset;
   return *this;
 }
 }} // namespace
--- a/src/gen/protocol_types.h
+++ b/src/gen/protocol_types.h
@@ -211,8 +211,6 @@
 
 class ReportedEvidence;
 
-class ReportedLoad;
-
 class PeerReport;
 
 typedef struct _Header__isset {
@@ -2649,62 +2647,9 @@
 
 std::ostream& operator<<(std::ostream& out, const ReportedEvidence& obj);
 
-
-class ReportedLoad {
- public:
-
-  ReportedLoad(const ReportedLoad&);
-  ReportedLoad(ReportedLoad&&) noexcept;
-  ReportedLoad& operator=(const ReportedLoad&);
-  ReportedLoad& operator=(ReportedLoad&&) noexcept;
-  ReportedLoad() noexcept
-               : serviceName(),
-                 openingsPerSecond(0),
-                 openExchanges(0) {
-  }
-
-  virtual ~ReportedLoad() noexcept;
-  std::string serviceName;
-  double openingsPerSecond;
-  double openExchanges;
-
-  void __set_serviceName(const std::string& val);
-
-  void __set_openingsPerSecond(const double val);
-
-  void __set_openExchanges(const double val);
-
-  bool operator == (const ReportedLoad & rhs) const
-  {
-    if (!(serviceName == rhs.serviceName))
-      return false;
-    if (!(openingsPerSecond == rhs.openingsPerSecond))
-      return false;
-    if (!(openExchanges == rhs.openExchanges))
-      return false;
-    return true;
-  }
-  bool operator != (const ReportedLoad &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const ReportedLoad & ) const;
-
-  template <class Protocol_>
-  uint32_t read(Protocol_* iprot);
-  template <class Protocol_>
-  uint32_t write(Protocol_* oprot) const;
-
-};
-
-void swap(ReportedLoad &a, ReportedLoad &b);
-
-std::ostream& operator<<(std::ostream& out, const ReportedLoad& obj);
-
 typedef struct _PeerReport__isset {
-  _PeerReport__isset() : evidence(false), loads(false) {}
+  _PeerReport__isset() : evidence(false) {}
   bool evidence :1;
-  bool loads :1;
 } _PeerReport__isset;
 
 class PeerReport {
@@ -2726,7 +2671,6 @@
   std::string zone;
   int64_t sequence;
   std::vector<ReportedEvidence>  evidence;
-  std::vector<ReportedLoad>  loads;
 
   _PeerReport__isset __isset;
 
@@ -2740,8 +2684,6 @@
 
   void __set_evidence(const std::vector<ReportedEvidence> & val);
 
-  void __set_loads(const std::vector<ReportedLoad> & val);
-
   bool operator == (const PeerReport & rhs) const
   {
     if (!(version == rhs.version))
@@ -2754,8 +2696,6 @@
       return false;
     if (!(evidence == rhs.evidence))
       return false;
-    if (!(loads == rhs.loads))
-      return false;
     return true;
   }
   bool operator != (const PeerReport &rhs) const {
--- a/src/gen/protocol_types.tcc
+++ b/src/gen/protocol_types.tcc
@@ -4060,96 +4060,6 @@
   return xfer;
 }
 
-template <class Protocol_>
-uint32_t ReportedLoad::read(Protocol_* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_serviceName = false;
-  bool isset_openingsPerSecond = false;
-  bool isset_openExchanges = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->serviceName);
-          isset_serviceName = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->openingsPerSecond);
-          isset_openingsPerSecond = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->openExchanges);
-          isset_openExchanges = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_serviceName)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_openingsPerSecond)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_openExchanges)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-template <class Protocol_>
-uint32_t ReportedLoad::write(Protocol_* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ReportedLoad");
-
-  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->serviceName);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("openingsPerSecond", ::apache::thrift::protocol::T_DOUBLE, 2);
-  xfer += oprot->writeDouble(this->openingsPerSecond);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("openExchanges", ::apache::thrift::protocol::T_DOUBLE, 3);
-  xfer += oprot->writeDouble(this->openExchanges);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
 template <class Protocol_>
 uint32_t PeerReport::read(Protocol_* iprot) {
 
@@ -4212,14 +4122,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size220;
-            ::apache::thrift::protocol::TType _etype223;
-            xfer += iprot->readListBegin(_etype223, _size220);
-            this->evidence.resize(_size220);
-            uint32_t _i224;
-            for (_i224 = 0; _i224 < _size220; ++_i224)
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->evidence.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
             {
-              xfer += this->evidence[_i224].read(iprot);
+              xfer += this->evidence[_i220].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4228,26 +4138,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->loads.clear();
-            uint32_t _size225;
-            ::apache::thrift::protocol::TType _etype228;
-            xfer += iprot->readListBegin(_etype228, _size225);
-            this->loads.resize(_size225);
-            uint32_t _i229;
-            for (_i229 = 0; _i229 < _size225; ++_i229)
-            {
-              xfer += this->loads[_i229].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.loads = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4293,22 +4183,10 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<ReportedEvidence> ::const_iterator _iter230;
-    for (_iter230 = this->evidence.begin(); _iter230 != this->evidence.end(); ++_iter230)
-    {
-      xfer += (*_iter230).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 6);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ReportedLoad> ::const_iterator _iter231;
-    for (_iter231 = this->loads.begin(); _iter231 != this->loads.end(); ++_iter231)
+    std::vector<ReportedEvidence> ::const_iterator _iter221;
+    for (_iter221 = this->evidence.begin(); _iter221 != this->evidence.end(); ++_iter221)
     {
-      xfer += (*_iter231).write(oprot);
+      xfer += (*_iter221).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
--- a/src/peer_report.h
+++ b/src/peer_report.h
@@ -21,15 +21,6 @@
   bool operator==(const UpstreamEvidence &) const = default;
 };
 
-/// The load of one service as one instance sees it from its own flows.
-struct ServiceLoad {
-  std::string Service;
-  double OpeningsPerSecond = 0;
-  /// Number of requests that wait for an answer.
-  double OpenExchanges = 0;
-  bool operator==(const ServiceLoad &) const = default;
-};
-
 /// What an instance tells the other instances of its zone.
 struct PeerReport {
   /// The sender's peer address, which identifies it (see PeerInfo).
@@ -38,7 +29,6 @@
   /// Rises with each report of a sender's process.
   uint64_t Sequence = 0;
   std::vector<UpstreamEvidence> Evidence;
-  std::vector<ServiceLoad> Loads;
   bool operator==(const PeerReport &) const = default;
 };
 
--- a/src/peer_report_codec.cpp
+++ b/src/peer_report_codec.cpp
@@ -30,19 +30,8 @@
 // Evidence is used for 2 s. A much higher age is an error of the sender.
 constexpr Duration MaxAge = std::chrono::seconds(60);
 
-// More than any instance can have.
-constexpr double MaxLoad = 1e9;
-
 bool isAgePlausible(Duration Age) { return Age >= Duration() && Age <= MaxAge; }
 
-// False for a value that is not a number.
-bool isLoadPlausible(double Value) { return Value >= 0 && Value <= MaxLoad; }
-
-bool isPlausible(const ServiceLoad &Load) {
-  return !Load.Service.empty() && isLoadPlausible(Load.OpeningsPerSecond) &&
-         isLoadPlausible(Load.OpenExchanges);
-}
-
 wire::ReportedEvidence toWire(const UpstreamEvidence &Evidence) {
   wire::ReportedEvidence Out;
   Out.upstream = static_cast<int64_t>(Evidence.Upstream.value());
@@ -52,24 +41,11 @@
   return Out;
 }
 
-wire::ReportedLoad toWire(const ServiceLoad &Load) {
-  wire::ReportedLoad Out;
-  Out.serviceName = Load.Service;
-  Out.openingsPerSecond = Load.OpeningsPerSecond;
-  Out.openExchanges = Load.OpenExchanges;
-  return Out;
-}
-
 UpstreamEvidence fromWire(const wire::ReportedEvidence &Evidence) {
   return {UpstreamId(static_cast<uint64_t>(Evidence.upstream)),
           Evidence.startedAtMs, Duration(Evidence.age), Evidence.hasStopped};
 }
 
-ServiceLoad fromWire(wire::ReportedLoad &Load) {
-  return {std::move(Load.serviceName), Load.openingsPerSecond,
-          Load.openExchanges};
-}
-
 template <typename Struct> std::string write(const Struct &Value) {
   const auto Buffer = std::make_shared<TMemoryBuffer>();
   CompactProtocol Protocol(Buffer);
@@ -79,8 +55,8 @@
 
 // Adds the entry if it fits into the free bytes. The encoding of a struct does
 // not depend on where it stands in a message.
-template <typename Struct>
-void addIfItFits(Struct Entry, std::vector<Struct> &Entries, size_t &Free) {
+void addIfItFits(wire::ReportedEvidence Entry,
+                 std::vector<wire::ReportedEvidence> &Entries, size_t &Free) {
   if (Entries.size() == MaxEntries)
     return;
   const size_t Size = write(Entry).size();
@@ -115,7 +91,7 @@
   Out.sender.port = static_cast<int16_t>(Report.Sender.Port);
   Out.zone = Report.Zone;
   Out.sequence = static_cast<int64_t>(Report.Sequence);
-  const size_t Used = write(Out).size() + 2 * ExtraListBytes;
+  const size_t Used = write(Out).size() + ExtraListBytes;
   if (Used > MaxReportBytes)
     return {};
   size_t Free = MaxReportBytes - Used;
@@ -127,10 +103,6 @@
   for (const UpstreamEvidence &Entry : Evidence)
     if (isAgePlausible(Entry.Age) && UpstreamIds.insert(Entry.Upstream).second)
       addIfItFits(toWire(Entry), Out.evidence, Free);
-  std::set<std::string_view> Services;
-  for (const ServiceLoad &Load : Report.Loads)
-    if (isPlausible(Load) && Services.insert(Load.Service).second)
-      addIfItFits(toWire(Load), Out.loads, Free);
   return write(Out);
 }
 
@@ -155,13 +127,6 @@
         !UpstreamIds.insert(Out.Evidence.back().Upstream).second)
       return std::nullopt;
   }
-  std::set<std::string> Services;
-  for (wire::ReportedLoad &Entry : In.loads) {
-    Out.Loads.push_back(fromWire(Entry));
-    if (!isPlausible(Out.Loads.back()) ||
-        !Services.insert(Out.Loads.back().Service).second)
-      return std::nullopt;
-  }
   return Out;
 }
 
--- a/src/peer_reporter.cpp
+++ b/src/peer_reporter.cpp
@@ -45,10 +45,8 @@
                          Hooks ReportHooks)
     : Loop(Loop), Opts(std::move(Opts)), TimeSource(TimeSource),
       ReportHooks(std::move(ReportHooks)),
-      Scheduler(
-          {this->Opts.Self, this->Opts.Zone, unixSeconds()}, TimeSource,
-          {[this] { return this->ReportHooks.CollectLoads(); },
-           [this] { return this->ReportHooks.Recipients().size() + 1; }}) {}
+      Scheduler({this->Opts.Self, this->Opts.Zone, unixSeconds()}, TimeSource) {
+}
 
 void PeerReporter::Impl::receive(std::string_view Datagram) {
   TimeSource.refresh();
--- a/src/peer_reporter.h
+++ b/src/peer_reporter.h
@@ -34,10 +34,6 @@
     /// Called for each report that is to be used.
     std::function<void(const PeerReport &)> OnReport = [](const PeerReport &) {
     };
-    /// Returns the current loads of this instance.
-    std::function<std::vector<ServiceLoad>()> CollectLoads = [] {
-      return std::vector<ServiceLoad>();
-    };
   };
 
   /// Numbers of datagrams.
--- a/src/policy_options.h
+++ b/src/policy_options.h
@@ -94,15 +94,6 @@
   bool operator==(const StoreSharingOptions &) const = default;
 };
 
-/// Whether less urgent flows are refused while the demand of a service exceeds
-/// its capacity.
-struct AdmissionOptions {
-  /// Takes effect only for routes with a priority. Off, because a zone refuses
-  /// flows by its own load even if other zones have room.
-  bool Enabled = false;
-  bool operator==(const AdmissionOptions &) const = default;
-};
-
 /// The rules by which a forwarder decides, each of which can be changed or
 /// switched off in the settings to measure its effect.
 struct PolicyOptions {
@@ -110,7 +101,6 @@
   ReachabilityOptions Reachability;
   CheckOptions Checks;
   StoreSharingOptions StoreSharing;
-  AdmissionOptions Admission;
   bool operator==(const PolicyOptions &) const = default;
 };
 
--- a/src/policy_settings.cpp
+++ b/src/policy_settings.cpp
@@ -60,10 +60,6 @@
                 MaxDelayAfterChangeShare);
 }
 
-void readAdmission(SettingsReader &Reader, AdmissionOptions &Out) {
-  Reader.boolean("enabled", Out.Enabled);
-}
-
 } // namespace
 
 void readPolicyOptions(SettingsReader &Reader, PolicyOptions &Out) {
@@ -80,9 +76,6 @@
     Policy.object("storeSharing", [&Out](SettingsReader &Members) {
       readStoreSharing(Members, Out.StoreSharing);
     });
-    Policy.object("admission", [&Out](SettingsReader &Members) {
-      readAdmission(Members, Out.Admission);
-    });
   });
 }
 
--- a/src/protocol.thrift
+++ b/src/protocol.thrift
@@ -400,12 +400,6 @@
   4: bool hasStopped = false
 }
 
-struct ReportedLoad {
-  1: required string serviceName
-  2: required double openingsPerSecond
-  3: required double openExchanges
-}
-
 struct PeerReport {
   1: required i32 version
   /* Peer address of the sender. */
@@ -413,5 +407,5 @@
   3: required string zone
   4: required i64 sequence
   5: list<ReportedEvidence> evidence
-  6: list<ReportedLoad> loads
+  /* 6 was used by an earlier version. */
 }
--- a/src/report_scheduler.cpp
+++ b/src/report_scheduler.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "placement.h"
-
 namespace indigopoint {
 
 namespace {
@@ -11,13 +9,8 @@
 // At most ten reports of evidence a second.
 constexpr Duration MinEvidenceInterval = std::chrono::milliseconds(100);
 
-constexpr Duration MinLoadPeriod = std::chrono::milliseconds(500);
-
-// Number of reports of loads that an instance gets per second in a large zone.
-constexpr size_t ReportsPerSecond = 64;
-
-// About 30 bytes each, so that half of a report of 1,200 bytes is left for the
-// loads. More evidence waits for the next report.
+// About 30 bytes each, so that they fit into a report of 1,200 bytes. More
+// evidence waits for the next report.
 constexpr size_t MaxEvidencePerReport = 20;
 
 // What can be sent within Lifetime.
@@ -48,29 +41,9 @@
 
 } // namespace
 
-ReportScheduler::ReportScheduler(Options Opts, const Clock &TimeSource,
-                                 Hooks ReportHooks)
+ReportScheduler::ReportScheduler(Options Opts, const Clock &TimeSource)
     : Opts(std::move(Opts)), TimeSource(TimeSource),
-      ReportHooks(std::move(ReportHooks)), StartedAt(TimeSource.now()),
-      NextEvidenceAt(StartedAt), NextLoadsAt(StartedAt) {}
-
-Duration ReportScheduler::loadPeriod(size_t Instances) {
-  return std::max(MinLoadPeriod, Duration(std::chrono::seconds(1)) *
-                                     static_cast<int64_t>(Instances) /
-                                     static_cast<int64_t>(ReportsPerSecond));
-}
-
-// Instances that were started together report at different times of the
-// period, so that a large zone does not send all its reports at once.
-TimePoint ReportScheduler::timeOfNextLoads(TimePoint Now) const {
-  const Duration Period = loadPeriod(ReportHooks.InstancesInZone());
-  const Duration Phase(rendezvousScore(0, Opts.Self) %
-                       static_cast<uint64_t>(Period.count()));
-  const TimePoint Earliest = Now + Period / 2;
-  const Duration SincePhase = Earliest.time_since_epoch() - Phase;
-  const auto Periods = (SincePhase + Period - Duration(1)) / Period;
-  return TimePoint(Phase + Periods * Period);
-}
+      StartedAt(TimeSource.now()), NextEvidenceAt(StartedAt) {}
 
 void ReportScheduler::addEvidence(const UpstreamEvidence &Evidence) {
   const TimePoint Now = TimeSource.now();
@@ -101,28 +74,17 @@
 }
 
 TimePoint ReportScheduler::nextReportAt() const {
-  return Pending.empty() ? NextLoadsAt : std::min(NextEvidenceAt, NextLoadsAt);
+  return Pending.empty() ? TimePoint::max() : NextEvidenceAt;
 }
 
 std::optional<PeerReport> ReportScheduler::takeReport() {
   const TimePoint Now = TimeSource.now();
   dropOutdatedEvidence();
-  const bool IsEvidenceDue = !Pending.empty() && Now >= NextEvidenceAt;
-  const bool AreLoadsDue = Now >= NextLoadsAt;
-  if (!IsEvidenceDue && !AreLoadsDue)
+  if (Pending.empty() || Now < NextEvidenceAt)
     return std::nullopt;
-  NextLoadsAt = timeOfNextLoads(Now);
+  NextEvidenceAt = Now + MinEvidenceInterval;
   PeerReport Report;
-  Report.Loads = ReportHooks.CollectLoads();
-  const bool HasLoads = !Report.Loads.empty();
-  const bool HasNewLoads = HasLoads || HadLoads;
-  HadLoads = HasLoads;
-  if (!IsEvidenceDue && !HasNewLoads)
-    return std::nullopt;
-  if (IsEvidenceDue) {
-    NextEvidenceAt = Now + MinEvidenceInterval;
-    Report.Evidence = extractEvidence();
-  }
+  Report.Evidence = extractEvidence();
   Report.Sender = Opts.Self;
   Report.Zone = Opts.Zone;
   Report.Sequence = nextSequence();
--- a/src/report_scheduler.h
+++ b/src/report_scheduler.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -24,34 +23,20 @@
     uint32_t StartedAtS = 0;
   };
 
-  struct Hooks {
-    /// Returns the current loads of this instance.
-    std::function<std::vector<ServiceLoad>()> CollectLoads = [] {
-      return std::vector<ServiceLoad>();
-    };
-    /// Returns the number of instances in the zone, including this one.
-    std::function<size_t()> InstancesInZone = [] { return size_t{1}; };
-  };
-
-  ReportScheduler(Options Opts, const Clock &TimeSource, Hooks ReportHooks);
+  ReportScheduler(Options Opts, const Clock &TimeSource);
 
-  /// How long evidence and loads of a report may be used. Evidence that could
+  /// How long the evidence of a report may be used. Evidence that could
   /// not be sent within this time is dropped.
   static constexpr Duration Lifetime = std::chrono::seconds(2);
 
-  /// The time between two reports of loads in a zone of \p Instances. It
-  /// exceeds Lifetime in zones of more than 128 instances.
-  static Duration loadPeriod(size_t Instances);
-
   /// Has the evidence reported as soon as the limit of the rate permits.
   void addEvidence(const UpstreamEvidence &Evidence);
 
-  /// Returns when takeReport is to be called next.
+  /// Returns when takeReport is to be called next; the maximum if there is
+  /// nothing to report.
   TimePoint nextReportAt() const;
 
-  /// Returns the report to send now; nothing if none is due or there is nothing
-  /// to report. Each report holds all loads, so that a report without loads
-  /// says that there are none.
+  /// Returns the report to send now; nothing if none is due.
   std::optional<PeerReport> takeReport();
 
   /// Returns whether a report of another instance is to be used: it is newer
@@ -78,7 +63,6 @@
     TimePoint WindowStart{};
   };
 
-  TimePoint timeOfNextLoads(TimePoint Now) const;
   void dropOutdatedEvidence();
   std::vector<UpstreamEvidence> extractEvidence();
   uint64_t nextSequence();
@@ -89,13 +73,10 @@
 
   Options Opts;
   const Clock &TimeSource;
-  Hooks ReportHooks;
   TimePoint StartedAt;
   uint64_t Sequence = 0;
   std::vector<PendingEvidence> Pending;
   TimePoint NextEvidenceAt;
-  TimePoint NextLoadsAt;
-  bool HadLoads = false;
   std::map<Endpoint, Sender> Senders;
 };
 
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -26,9 +26,6 @@
   std::vector<RouteShare> Shares;
   /// Whether requests of this route's flows may be executed more than once.
   bool Idempotent = false;
-  /// Requests with a lower number are more urgent; nothing if the configuration
-  /// does not rank the route.
-  std::optional<uint32_t> Priority{};
   /// The time within which callers want the answer; 0 if not configured.
   Duration Aim{};
   /// The time after which an answer is worth nothing; 0 if not configured.
--- a/src/steered_flow_table.h
+++ b/src/steered_flow_table.h
@@ -29,10 +29,6 @@
   bool IsCountedAsPending = false;
   /// Whether the client has retransmitted data that is not acknowledged yet.
   bool HasRetransmitted = false;
-  /// Whether the flow is counted among the open exchanges of its service.
-  bool IsCountedAsLoad = false;
-  /// Whether a request of the flow was answered.
-  bool HasAnsweredRequest = false;
   /// Sequence number of the opening packet. A different one in a later opening
   /// packet means that the client has reused the port for a new flow.
   uint32_t InitialSequence = 0;
--- a/src/steering_decision.cpp
+++ b/src/steering_decision.cpp
@@ -12,7 +12,7 @@
     "new-flow",      "repeated-opening", "moved-opening", "known-flow",
     "tagged-flow",   "no-configuration", "paused",        "no-route",
     "route-removed", "no-upstream",      "unknown-tag",   "address-reused",
-    "upstream-gone", "upstream-dead",    "overloaded"};
+    "upstream-gone", "upstream-dead"};
 
 } // namespace
 
--- a/src/steering_decision.h
+++ b/src/steering_decision.h
@@ -48,39 +48,21 @@
   UpstreamGone,
   /// The upstream failed a connection check and has not answered since. It may
   /// still be registered.
-  UpstreamDead,
-  /// The demand of the service exceeds its capacity, and the flow is less
-  /// urgent than others. Nothing has run.
-  Overloaded
+  UpstreamDead
 };
 
 constexpr size_t SteeringActionCount = 3;
-constexpr size_t SteeringReasonCount = 15;
+constexpr size_t SteeringReasonCount = 14;
 
 std::string_view nameOf(SteeringAction Value);
 std::string_view nameOf(SteeringReason Value);
 
-/// From what a refusal because of overload was decided.
-struct Overload {
-  std::string Service;
-  uint32_t Priority = 0;
-  /// The share of the clients of this priority that are admitted.
-  double AdmittedShare = 0;
-  /// Requests of the zone that wait for an answer.
-  double Demand = 0;
-  /// Slots of the usable upstreams.
-  double Capacity = 0;
-  double OpeningsPerSecond = 0;
-};
-
 struct SteeringDecision {
   SteeringAction Action = SteeringAction::Drop;
   SteeringReason Reason = SteeringReason::NoConfiguration;
   /// The upstream that the packet is forwarded to, or whose state caused the
   /// reset or drop; null if there is none.
   const Upstream *Target = nullptr;
-  /// Set for the reason Overloaded.
-  std::optional<Overload> OverloadInputs{};
 };
 
 } // namespace indigopoint
--- a/src/steering_log.cpp
+++ b/src/steering_log.cpp
@@ -29,14 +29,6 @@
     LogFields["zone"] = Registration.Zone;
     LogFields["openFlows"] = Decision.Target->OpenFlows;
   }
-  if (const auto &Inputs = Decision.OverloadInputs) {
-    LogFields["service"] = Inputs->Service;
-    LogFields["priority"] = Inputs->Priority;
-    LogFields["admittedShare"] = Inputs->AdmittedShare;
-    LogFields["demand"] = Inputs->Demand;
-    LogFields["capacity"] = Inputs->Capacity;
-    LogFields["openingsPerSecond"] = Inputs->OpeningsPerSecond;
-  }
   if (Decision.Action != SteeringAction::Forward)
     LogFields["tag"] = Packet.Tag.value();
   return LogFields;
--- a/src/steering_metrics.cpp
+++ b/src/steering_metrics.cpp
@@ -1,21 +1,14 @@
 #include "steering_metrics.h"
 
-#include <algorithm>
-
 namespace indigopoint {
 
 namespace {
 
 constexpr size_t MaxServices = 64;
 constexpr const char *OtherServices = "other";
-constexpr uint32_t MaxPriority = 15;
 
 } // namespace
 
-void ServiceFlowMetrics::countRefusal(uint32_t Priority) {
-  ++RefusedByPriority[std::min(Priority, MaxPriority)];
-}
-
 void SteeringMetrics::countDecision(const SteeringDecision &Decision) {
   ++Decisions[static_cast<size_t>(Decision.Action)]
              [static_cast<size_t>(Decision.Reason)];
--- a/src/steering_metrics.h
+++ b/src/steering_metrics.h
@@ -16,20 +16,12 @@
   uint64_t OpenedInOtherZones = 0;
   /// New flows sent to other zones while this instance's zone is evacuated.
   uint64_t OpenedDuringEvacuation = 0;
-  /// New flows refused because of overload, by priority.
-  std::map<uint32_t, uint64_t> RefusedByPriority;
-  /// Requests of the zone that wait for an answer, and the slots for them.
-  double Demand = 0;
-  double Capacity = 0;
   /// Opening packets that were not answered within OpenTimeout.
   uint64_t OpenTimeouts = 0;
   /// Time from the opening packet to the client's next packet.
   LatencyHistogram OpenLatency = makeLatencyHistogram();
   /// Sum of the latencies in \c OpenLatency.
   Duration OpenLatencySum{};
-
-  /// Counts a refusal. Priorities beyond a limit count as one.
-  void countRefusal(uint32_t Priority);
 };
 
 /// Counts the decisions of flow steering.
--- a/tests/exchange_monitor_test.cpp
+++ b/tests/exchange_monitor_test.cpp
@@ -11,10 +11,8 @@
 class ExchangeMonitorTest : public SteeringFixture {
 protected:
   void SetUp() override {
-    FlowSteering::Hooks Hooks{
-        [](const FlowAddress &, const Upstream &) {}, [](const Upstream &) {},
-        [](const PacketHeader &, const SteeringDecision &) {},
-        [this] { return IsOutdated; }};
+    FlowSteering::Hooks Hooks;
+    Hooks.IsOutdated = [this] { return IsOutdated; };
     Hooks.OnUnresponsive = [this](const Upstream &Target) {
       Found.push_back(Target.Registration.Id.value());
     };
@@ -239,7 +237,7 @@
   add(15, "chat", "a");
   add(16, "chat", "a");
   Monitored->recordPeerEvidence(
-      {{9, 7000}, "a", 1, {{UpstreamId(11), 0, 0ms}}, {}});
+      {{9, 7000}, "a", 1, {{UpstreamId(11), 0, 0ms}}});
   EXPECT_EQ(Reported, std::vector<uint64_t>{11});
   for (uint16_t Port = 10; Port < 40; ++Port)
     answer(Port, requestElsewhere(Port));
--- a/tests/forwarder_settings_test.cpp
+++ b/tests/forwarder_settings_test.cpp
@@ -70,8 +70,7 @@
                                  "maxOpeningsInZone": 0},
                    "reachability": {"maxBackoffMs": 500},
                    "checks": {"useReference": false},
-                   "storeSharing": {"delayAfterChangeShare": 0.1},
-                   "admission": {"enabled": true}}})",
+                   "storeSharing": {"delayAfterChangeShare": 0.1}}})",
                                              "s.json", Settings);
   ASSERT_TRUE(Errors.empty()) << toString(Errors[0]);
   PolicyOptions Expected;
@@ -81,7 +80,6 @@
   Expected.Reachability.MaxBackoff = std::chrono::milliseconds(500);
   Expected.Checks.UseReference = false;
   Expected.StoreSharing.DelayAfterChangeShare = 0.1;
-  Expected.Admission.Enabled = true;
   EXPECT_EQ(Settings.Policy, Expected);
 }
 
--- a/tests/peer_evidence_test.cpp
+++ b/tests/peer_evidence_test.cpp
@@ -30,7 +30,7 @@
 
   PeerReport report(uint32_t Sender, const std::vector<uint64_t> &Ids,
                     Duration Age = {}) {
-    PeerReport Out{{Sender, 7000}, "a", ++Sequence, {}, {}};
+    PeerReport Out{{Sender, 7000}, "a", ++Sequence, {}};
     for (const uint64_t Id : Ids)
       Out.Evidence.push_back({UpstreamId(Id), 1000, Age});
     return Out;
--- a/tests/peer_report_codec_test.cpp
+++ b/tests/peer_report_codec_test.cpp
@@ -1,7 +1,6 @@
 #include "peer_report_codec.h"
 
 #include <chrono>
-#include <limits>
 #include <random>
 
 #include <gtest/gtest.h>
@@ -15,14 +14,11 @@
 constexpr Endpoint Receiver{0x0a010002, 8166};
 const std::string Zone = "lim-a";
 
-PeerReport reportOf(size_t EvidenceCount, size_t LoadCount) {
-  PeerReport Report{Sender, Zone, (uint64_t{1} << 63) + 5, {}, {}};
+PeerReport reportOf(size_t EvidenceCount) {
+  PeerReport Report{Sender, Zone, (uint64_t{1} << 63) + 5, {}};
   for (size_t Index = 0; Index < EvidenceCount; ++Index)
     Report.Evidence.push_back({UpstreamId(0xfedcba9876543210U + Index),
                                1'764'800'000'000, milliseconds(Index)});
-  for (size_t Index = 0; Index < LoadCount; ++Index)
-    Report.Loads.push_back(
-        {"service-" + std::to_string(Index), 0.1 * double(Index), 3});
   return Report;
 }
 
@@ -31,44 +27,40 @@
 }
 
 TEST(PeerReportCodecTest, KeepsAllFields) {
-  const PeerReport Report = reportOf(3, 2);
+  const PeerReport Report = reportOf(3);
   EXPECT_EQ(decode(encodePeerReport(Report)), Report);
-  EXPECT_EQ(decode(encodePeerReport(reportOf(0, 0))), reportOf(0, 0));
+  EXPECT_EQ(decode(encodePeerReport(reportOf(0))), reportOf(0));
 }
 
 // Guards against fragmented datagrams, and against old evidence that displaces
 // new one.
-TEST(PeerReportCodecTest, LeavesOutLoadsAndThenTheOldestEvidence) {
-  for (size_t EvidenceCount : {0, 5, 14, 15, 16, 20, 50, 99, 100, 127, 400})
-    for (size_t LoadCount : {0, 5, 14, 15, 16, 40, 200}) {
-      PeerReport Report = reportOf(EvidenceCount, LoadCount);
-      std::reverse(Report.Evidence.begin(), Report.Evidence.end());
-      const std::string Bytes = encodePeerReport(Report);
-      ASSERT_LE(Bytes.size(), MaxReportBytes);
-      const auto Decoded = decode(Bytes);
-      ASSERT_TRUE(Decoded) << EvidenceCount << " " << LoadCount;
-      const PeerReport Sorted = reportOf(EvidenceCount, LoadCount);
-      EXPECT_TRUE(std::equal(Decoded->Evidence.begin(), Decoded->Evidence.end(),
-                             Sorted.Evidence.begin()));
-      EXPECT_GE(Decoded->Evidence.size(), std::min<size_t>(EvidenceCount, 30));
-      if (EvidenceCount <= 20) {
-        EXPECT_GE(Decoded->Loads.size(), std::min<size_t>(LoadCount, 10));
-      }
-    }
+TEST(PeerReportCodecTest, LeavesOutTheOldestEvidence) {
+  for (size_t EvidenceCount : {0, 5, 14, 15, 16, 20, 50, 99, 100, 127, 400}) {
+    PeerReport Report = reportOf(EvidenceCount);
+    std::reverse(Report.Evidence.begin(), Report.Evidence.end());
+    const std::string Bytes = encodePeerReport(Report);
+    ASSERT_LE(Bytes.size(), MaxReportBytes);
+    const auto Decoded = decode(Bytes);
+    ASSERT_TRUE(Decoded) << EvidenceCount;
+    const PeerReport Sorted = reportOf(EvidenceCount);
+    EXPECT_TRUE(std::equal(Decoded->Evidence.begin(), Decoded->Evidence.end(),
+                           Sorted.Evidence.begin()));
+    EXPECT_GE(Decoded->Evidence.size(), std::min<size_t>(EvidenceCount, 30));
+  }
 }
 
 TEST(PeerReportCodecTest, RejectsForeignReports) {
-  const std::string Bytes = encodePeerReport(reportOf(1, 1));
+  const std::string Bytes = encodePeerReport(reportOf(1));
   EXPECT_TRUE(decodePeerReport(Bytes, Receiver, Zone));
   EXPECT_FALSE(decodePeerReport(Bytes, Receiver, "lim-b"));
   EXPECT_FALSE(decodePeerReport(Bytes, Sender, Zone));
-  PeerReport Unknown = reportOf(1, 1);
+  PeerReport Unknown = reportOf(1);
   Unknown.Sender.Port = 0;
   EXPECT_FALSE(decode(encodePeerReport(Unknown)));
 }
 
 TEST(PeerReportCodecTest, RejectsEachTruncationAndTrailingBytes) {
-  const std::string Bytes = encodePeerReport(reportOf(3, 2));
+  const std::string Bytes = encodePeerReport(reportOf(3));
   for (size_t Size = 0; Size < Bytes.size(); ++Size)
     EXPECT_FALSE(decode(std::string_view(Bytes).substr(0, Size))) << Size;
   EXPECT_FALSE(decode(Bytes + '\0'));
@@ -79,16 +71,11 @@
 // Guards against one absurd value, such as a rate that was divided by zero,
 // that makes the other instances reject everything that this one reports.
 TEST(PeerReportCodecTest, LeavesOutImplausibleEntries) {
-  PeerReport Report = reportOf(2, 2);
+  PeerReport Report = reportOf(2);
   const PeerReport Expected = Report;
   Report.Evidence.push_back({UpstreamId(1), 1, Duration(-1)});
   Report.Evidence.push_back({UpstreamId(2), 1, std::chrono::hours(1)});
   Report.Evidence.push_back(Expected.Evidence[0]);
-  Report.Loads.push_back({"", 1, 1});
-  Report.Loads.push_back({"a", std::numeric_limits<double>::quiet_NaN(), 1});
-  Report.Loads.push_back({"b", std::numeric_limits<double>::infinity(), 1});
-  Report.Loads.push_back({"c", 1, -1});
-  Report.Loads.push_back(Expected.Loads[0]);
   EXPECT_EQ(decode(encodePeerReport(Report)), Expected);
 }
 
@@ -101,30 +88,10 @@
   return Bytes.replace(At, From.size(), To);
 }
 
-std::string bytesOf(double Value) {
-  return {reinterpret_cast<const char *>(&Value), sizeof(Value)};
-}
-
-TEST(PeerReportCodecTest, RejectsImplausibleLoads) {
-  PeerReport Report{Sender, Zone, 1, {}, {{"service", 0.123, 456.7}}};
-  const std::string Bytes = encodePeerReport(Report);
-  ASSERT_TRUE(decode(Bytes));
-  for (const double Original : {0.123, 456.7})
-    for (const double Absurd :
-         {-1.0, 1e10, std::numeric_limits<double>::infinity(),
-          -std::numeric_limits<double>::infinity(),
-          std::numeric_limits<double>::quiet_NaN()})
-      EXPECT_FALSE(decode(replaced(Bytes, bytesOf(Original), bytesOf(Absurd))))
-          << Absurd;
-  Report.Loads.push_back({"servicf", 1, 1});
-  EXPECT_FALSE(
-      decode(replaced(encodePeerReport(Report), "servicf", "service")));
-}
-
 TEST(PeerReportCodecTest, RejectsImplausibleAges) {
   // 60 s in microseconds, as a zigzag number of four bytes with the field
   // header of an i64.
-  PeerReport Report{Sender, Zone, 1, {}, {}};
+  PeerReport Report{Sender, Zone, 1, {}};
   Report.Evidence.push_back({UpstreamId(7), 0, std::chrono::seconds(60)});
   const std::string Bytes = encodePeerReport(Report);
   ASSERT_TRUE(decode(Bytes));
@@ -136,13 +103,21 @@
 
 TEST(PeerReportCodecTest, RejectsOtherVersions) {
   // The first field of the struct: header byte, version 1 as zigzag number 2.
-  const std::string Bytes = encodePeerReport(reportOf(1, 1));
+  const std::string Bytes = encodePeerReport(reportOf(1));
   ASSERT_EQ(Bytes.substr(0, 2), "\x15\x02");
   EXPECT_FALSE(decode("\x15\x04" + Bytes.substr(2)));
 }
 
+// Guards against reports of another version that are lost for a field which
+// this version does not know: an empty list with the id 6.
+TEST(PeerReportCodecTest, IgnoresUnknownFields) {
+  std::string Bytes = encodePeerReport(reportOf(1));
+  Bytes.insert(Bytes.size() - 1, "\x19\x0c");
+  EXPECT_EQ(decode(Bytes), reportOf(1));
+}
+
 TEST(PeerReportCodecTest, SendsNothingForAnOverlongZone) {
-  PeerReport Report = reportOf(1, 1);
+  PeerReport Report = reportOf(1);
   Report.Zone = std::string(MaxReportBytes, 'z');
   EXPECT_EQ(encodePeerReport(Report), "");
 }
@@ -151,7 +126,7 @@
 // What it accepts must be within the limits.
 TEST(PeerReportCodecTest, SurvivesRandomBytes) {
   std::mt19937 Random(7);
-  const std::string Valid = encodePeerReport(reportOf(10, 8));
+  const std::string Valid = encodePeerReport(reportOf(18));
   const auto Start = std::chrono::steady_clock::now();
   size_t Accepted = 0;
   for (int Round = 0; Round < 50'000; ++Round) {
@@ -175,10 +150,6 @@
       EXPECT_GE(Entry.Age, Duration());
       EXPECT_LE(Entry.Age, std::chrono::seconds(60));
     }
-    for (const ServiceLoad &Load : Decoded->Loads) {
-      EXPECT_TRUE(Load.OpeningsPerSecond >= 0 && Load.OpeningsPerSecond <= 1e9);
-      EXPECT_TRUE(Load.OpenExchanges >= 0 && Load.OpenExchanges <= 1e9);
-    }
   }
   EXPECT_GT(Accepted, 0U);
   EXPECT_LT(std::chrono::steady_clock::now() - Start, std::chrono::seconds(20));
--- a/tests/peer_reporter_test.cpp
+++ b/tests/peer_reporter_test.cpp
@@ -31,7 +31,6 @@
   const uint16_t Port = unusedAddress().Port;
   EventLoop Loop;
   EventClock TimeSource;
-  std::vector<ServiceLoad> Loads;
   std::vector<PeerReport> Received;
   PeerReporter First{Loop,
                      optionsOf(FirstIp),
@@ -39,7 +38,7 @@
                      {[] {
                         return std::vector{Endpoint{SecondIp, PeerPort}};
                       },
-                      [](const PeerReport &) {}, [this] { return Loads; }}};
+                      [](const PeerReport &) {}}};
   PeerReporter Second{
       Loop,
       optionsOf(SecondIp),
@@ -68,14 +67,6 @@
   EXPECT_EQ(Second.counters().Received, 1U);
 }
 
-TEST_F(PeerReporterTest, ReportsLoadsPeriodically) {
-  Loads = {{"chat", 2, 3}};
-  ASSERT_EQ(First.open(), "");
-  ASSERT_EQ(Second.open(), "");
-  ASSERT_TRUE(runUntil(Loop, [&] { return Received.size() >= 3; }));
-  EXPECT_EQ(Received[2].Loads, Loads);
-}
-
 TEST_F(PeerReporterTest, CountsRejectedAndOutdatedReports) {
   ASSERT_EQ(Second.open(), "");
   UdpEndpoint Socket{MaxReportBytes};
@@ -84,7 +75,7 @@
     Socket.nextBuffer() = Bytes;
     Socket.commit({SecondIp, Port});
   };
-  const PeerReport Report{{FirstIp, PeerPort}, "lim-a", 1, {}, {}};
+  const PeerReport Report{{FirstIp, PeerPort}, "lim-a", 1, {}};
   PeerReport Foreign = Report;
   Foreign.Zone = "lim-b";
   PeerReport Reflected = Report;
@@ -110,10 +101,7 @@
                         {[] {
                            return std::vector{Endpoint{SecondIp, PeerPort}};
                          },
-                         [](const PeerReport &) {},
-                         [] {
-                           return std::vector<ServiceLoad>{{"chat", 2, 3}};
-                         }});
+                         [](const PeerReport &) {}});
   ASSERT_EQ(Disabled.open(), "");
   ASSERT_EQ(Second.open(), "");
   Disabled.addEvidence(unresponsiveUpstream(7), true);
@@ -135,12 +123,13 @@
                          return std::vector{Endpoint{0x7f000003, PeerPort},
                                             Endpoint{SecondIp, PeerPort}};
                        },
-                       [](const PeerReport &) {},
-                       [] {
-                         return std::vector<ServiceLoad>{{"chat", 2, 3}};
-                       }});
+                       [](const PeerReport &) {}});
   ASSERT_EQ(Sender.open(), "");
   ASSERT_EQ(Second.open(), "");
+  const LoopEvent Evidence =
+      LoopEvent::every(Loop, std::chrono::milliseconds(10), [&] {
+        Sender.addEvidence(unresponsiveUpstream(7), false);
+      });
   EXPECT_TRUE(runUntil(Loop, [&] { return Received.size() >= 3; }));
 }
 
--- a/tests/reachability_gate_test.cpp
+++ b/tests/reachability_gate_test.cpp
@@ -278,8 +278,7 @@
       Routes,
       Upstreams,
       Metrics,
-      {[](const FlowAddress &, const Upstream &) {}, [](const Upstream &) {},
-       [](const PacketHeader &, const SteeringDecision &) {}}};
+      {}};
   const TimePoint ConfirmedAt = TimeSource.now();
   uint16_t Port = 1;
 };
@@ -302,7 +301,7 @@
 // the stopped upstreams from others, so none of its own flows waits for them.
 TEST_F(SteeredGateTest, CountsUpstreamsThatOthersFoundStopped) {
   for (const uint32_t Sender : {1U, 2U}) {
-    PeerReport Report{{Sender, 7000}, "a", 1, {}, {}};
+    PeerReport Report{{Sender, 7000}, "a", 1, {}};
     for (const uint64_t Id : {11, 12, 21})
       Report.Evidence.push_back({UpstreamId(Id), 0, {}, true});
     GatedSteering.recordPeerEvidence(Report);
--- a/tests/report_scheduler_test.cpp
+++ b/tests/report_scheduler_test.cpp
@@ -23,9 +23,7 @@
 class ReportSchedulerTest : public testing::Test {
 protected:
   ReportScheduler makeSender(Endpoint Address, uint32_t StartedAtS) {
-    return {{Address, "lim-a", StartedAtS},
-            TimeSource,
-            {[this] { return Loads; }, [this] { return Instances; }}};
+    return {{Address, "lim-a", StartedAtS}, TimeSource};
   }
 
   // Takes the reports that are due until \p Period has passed.
@@ -42,36 +40,13 @@
   }
 
   ManualClock TimeSource;
-  std::vector<ServiceLoad> Loads;
-  size_t Instances = 8;
   ReportScheduler Scheduler = makeSender(Self, 1000);
 };
 
-TEST_F(ReportSchedulerTest, IsSilentWithoutLoadAndEvidence) {
+TEST_F(ReportSchedulerTest, IsSilentWithoutEvidence) {
   EXPECT_TRUE(run(Scheduler, minutes(1)).empty());
 }
 
-TEST_F(ReportSchedulerTest, ReportsLoadsTwiceASecond) {
-  Loads = {{"chat", 2, 3}};
-  const auto Reports = run(Scheduler, seconds(10));
-  EXPECT_NEAR(double(Reports.size()), 20, 1);
-  for (const PeerReport &Report : Reports) {
-    EXPECT_EQ(Report.Loads, Loads);
-    EXPECT_EQ(Report.Sender, Self);
-    EXPECT_EQ(Report.Zone, "lim-a");
-  }
-}
-
-// Guards against peers that keep the last load of an instance without traffic.
-TEST_F(ReportSchedulerTest, ReportsOnceThatThereIsNoLoadAnyMore) {
-  Loads = {{"chat", 2, 3}};
-  run(Scheduler, seconds(5));
-  Loads.clear();
-  const auto Reports = run(Scheduler, seconds(5));
-  ASSERT_EQ(Reports.size(), 1U);
-  EXPECT_TRUE(Reports[0].Loads.empty());
-}
-
 TEST_F(ReportSchedulerTest, ReportsEvidenceAtOnce) {
   run(Scheduler, seconds(5));
   Scheduler.addEvidence(evidence(7));
@@ -79,21 +54,11 @@
   const auto Report = Scheduler.takeReport();
   ASSERT_TRUE(Report);
   EXPECT_EQ(Report->Evidence, std::vector{evidence(7)});
+  EXPECT_EQ(Report->Sender, Self);
+  EXPECT_EQ(Report->Zone, "lim-a");
   EXPECT_FALSE(Scheduler.takeReport());
 }
 
-// Guards against evidence without the loads: the receivers would take a report
-// without loads as one of an idle instance.
-TEST_F(ReportSchedulerTest, ReportsLoadsWithEvidence) {
-  Loads = {{"chat", 2, 3}};
-  run(Scheduler, seconds(1));
-  TimeSource.advance(milliseconds(1));
-  Scheduler.addEvidence(evidence(7));
-  const auto Report = Scheduler.takeReport();
-  ASSERT_TRUE(Report);
-  EXPECT_EQ(Report->Loads, Loads);
-}
-
 // Guards against a flood of reports when many upstreams fail, and against
 // evidence that is lost because a report is full.
 TEST_F(ReportSchedulerTest, SpreadsABurstOfEvidence) {
@@ -110,7 +75,6 @@
 }
 
 TEST_F(ReportSchedulerTest, SendsAtMostTenReportsOfEvidenceASecond) {
-  Loads = {{"chat", 2, 3}};
   std::vector<TimePoint> SentAt;
   for (uint64_t Step = 0; Step < 5000; ++Step) {
     Scheduler.addEvidence(evidence(Step));
@@ -152,36 +116,6 @@
   EXPECT_LE(run(Scheduler, minutes(1)).size(), 21U);
 }
 
-// Guards against a zone whose reports exceed what an instance can process, also
-// when all instances were started together.
-TEST_F(ReportSchedulerTest, AnInstanceOfALargeZoneGetsAtMost64ReportsASecond) {
-  Loads = {{"chat", 2, 3}};
-  for (const size_t Size : {8U, 32U, 33U, 100U, 300U}) {
-    Instances = Size;
-    std::vector<std::unique_ptr<ReportScheduler>> Senders;
-    for (size_t Index = 1; Index < Size; ++Index)
-      Senders.push_back(std::make_unique<ReportScheduler>(
-          makeSender({uint32_t(Index), 8166}, 1000)));
-    constexpr int Seconds = 60;
-    std::vector<size_t> PerSecond(Seconds);
-    for (int Step = 0; Step < Seconds * 100; ++Step) {
-      for (const auto &Sender : Senders)
-        if (Sender->nextReportAt() <= TimeSource.Now && Sender->takeReport())
-          ++PerSecond[Step / 100];
-      TimeSource.advance(milliseconds(10));
-    }
-    // The first seconds after a common start are higher.
-    size_t Sum = 0;
-    for (int Second = 10; Second < Seconds; ++Second) {
-      Sum += PerSecond[Second];
-      EXPECT_LE(PerSecond[Second], 64U * 3 / 2) << Size;
-    }
-    const double Mean = double(Sum) / (Seconds - 10);
-    EXPECT_LE(Mean, 64.5) << Size;
-    EXPECT_GE(Mean, std::min(60.0, double(Size - 1) * 1.9)) << Size;
-  }
-}
-
 class ReceivedReportTest : public ReportSchedulerTest {
 protected:
   PeerReport next(ReportScheduler &Sender) {
--- a/tests/silent_zone_test.cpp
+++ b/tests/silent_zone_test.cpp
@@ -169,12 +169,12 @@
         Routes,
         Upstreams,
         Metrics,
-        {[](const FlowAddress &, const Upstream &) {}, [](const Upstream &) {},
-         [this](const PacketHeader &Packet, const SteeringDecision &) {
-           Client &Owner = All[Packet.Flow.Client.Port % Clients];
-           EXPECT_FALSE(Owner.GivesUpAt) << "a request was cut off";
-           Owner.Upstream = 0;
-         }}};
+        {.OnReset = [this](const PacketHeader &Packet,
+                           const SteeringDecision &) {
+          Client &Owner = All[Packet.Flow.Client.Port % Clients];
+          EXPECT_FALSE(Owner.GivesUpAt) << "a request was cut off";
+          Owner.Upstream = 0;
+        }}};
     All.assign(Clients, {});
     for (size_t Index = 0; Index < Clients; ++Index)
       All[Index].NextRequest =
--- a/tests/slow_upstream_test.cpp
+++ b/tests/slow_upstream_test.cpp
@@ -54,10 +54,7 @@
   struct Instance {
     Instance(const PlacementOptions &Opts, const Clock &TimeSource)
         : Steering({"a", makeZoneAwareLeastFlowsPolicy("a", Opts), Opts},
-                   TimeSource, Routes, Upstreams, Metrics,
-                   {[](const FlowAddress &, const Upstream &) {},
-                    [](const Upstream &) {},
-                    [](const PacketHeader &, const SteeringDecision &) {}}) {}
+                   TimeSource, Routes, Upstreams, Metrics, {}) {}
     RouteTable Routes;
     UpstreamRegistry Upstreams;
     SteeringMetrics Metrics;
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -95,29 +95,6 @@
     return Id;
   }
 
-  // Reports demand far above the capacity of chat, and gets some answers, from
-  // which the instance learns the response time.
-  void overloadChat(FlowSteering &Target) {
-    PeerReport Report;
-    Report.Sender = {0x0a000101, 7000};
-    Report.Zone = "a";
-    Report.Sequence = 1;
-    Report.Loads = {{"chat", 1e6, 1000}};
-    Target.loads().recordPeerReport(Report);
-    for (uint16_t Port = 50; Port < 60; ++Port)
-      Target.steer(opening(Port));
-    TimeSource.advance(std::chrono::milliseconds(7));
-    for (uint16_t Port = 50; Port < 60; ++Port)
-      Target.steer(data(Port, 0, 500));
-    TimeSource.advance(std::chrono::milliseconds(100));
-    for (uint16_t Port = 50; Port < 60; ++Port) {
-      PacketHeader Answered = data(Port, 0, 600);
-      Answered.DataBytes = 0;
-      Target.steer(Answered);
-    }
-  }
-  void overloadChat() { overloadChat(Steering); }
-
   // Opens a flow whose client then retransmits without an answer, while a check
   // of the flow's upstream fails. Returns the id of that upstream.
   uint64_t openAtDeadUpstream() {
@@ -138,13 +115,7 @@
   std::vector<uint64_t> CheckedUpstreams;
   std::vector<PacketHeader> ResetFlows;
   FlowSteering Steering{
-      {"a",
-       makeZoneAwareLeastFlowsPolicy("a"),
-       {},
-       {},
-       {},
-       nullptr,
-       {.Enabled = true}},
+      {"a", makeZoneAwareLeastFlowsPolicy("a"), {}, {}, {}, nullptr},
       TimeSource,
       Routes,
       Upstreams,
--- a/tests/steering_fleet_test.cpp
+++ b/tests/steering_fleet_test.cpp
@@ -54,12 +54,9 @@
 private:
   struct Instance {
     Instance(uint64_t Number, const std::string &Zone, const Clock &TimeSource)
-        : Number(Number),
-          Steering({Zone, makeZoneAwareLeastFlowsPolicy(Zone)}, TimeSource,
-                   Routes, Upstreams, Metrics,
-                   {[](const FlowAddress &, const Upstream &) {},
-                    [](const Upstream &) {},
-                    [](const PacketHeader &, const SteeringDecision &) {}}) {}
+        : Number(Number), Steering({Zone, makeZoneAwareLeastFlowsPolicy(Zone)},
+                                   TimeSource, Routes, Upstreams, Metrics, {}) {
+    }
     uint64_t Number;
     RouteTable Routes;
     UpstreamRegistry Upstreams;
--- a/tests/steering_log_test.cpp
+++ b/tests/steering_log_test.cpp
@@ -67,12 +67,6 @@
     return steer(opening(1, PhotoAddress));
   }
 
-  SteeringDecision runOverloadedCase() {
-    configure(2, {{"chat", ChatAddress, {{"chat", 1}}, true, 2}});
-    overloadChat();
-    return steer(opening(100));
-  }
-
   SteeringDecision runNoConfigurationCase() {
     RouteTable EmptyTable;
     FlowSteering NewSteering({"a", makeZoneAwareLeastFlowsPolicy("a")},
@@ -121,8 +115,6 @@
       return runUpstreamGoneCase();
     case SteeringReason::UpstreamDead:
       return runUpstreamDeadCase();
-    case SteeringReason::Overloaded:
-      return runOverloadedCase();
     }
     return {};
   }
--- a/tests/stopped_upstream_test.cpp
+++ b/tests/stopped_upstream_test.cpp
@@ -49,7 +49,7 @@
 
   void report(uint32_t Sender, uint64_t Id, bool HasStopped = true,
               Duration Age = {}, int64_t Start = StartedAtMs) {
-    PeerReport Report{{Sender, 7000}, "a", ++Sequence, {}, {}};
+    PeerReport Report{{Sender, 7000}, "a", ++Sequence, {}};
     Report.Evidence.push_back({UpstreamId(Id), Start, Age, HasStopped});
     Steering.recordPeerEvidence(Report);
   }
--- a/tests/store_codec_test.cpp
+++ b/tests/store_codec_test.cpp
@@ -164,9 +164,9 @@
             (std::vector<RouteShare>{{"chat", 90}, {"photos", 10}}));
 }
 
-// A rank that cannot be used must not keep the configuration's other changes
+// A time that cannot be used must not keep the configuration's other changes
 // from coming into force.
-TEST(StoreCodecTest, ImplausibleUrgencyLeavesARouteUnranked) {
+TEST(StoreCodecTest, ImplausibleTimesLeaveARouteWithoutThem) {
   const auto Route = [](const std::string &Fields) {
     return std::get<RouteConfiguration>(
                decodeItem(configurationItem(
@@ -175,17 +175,15 @@
                    Fields + "}]}")))
         .Routes.at(0);
   };
-  const auto Ranked = Route(R"(,"Priority":1,"AimMs":500,"TimeoutMs":2000)");
-  EXPECT_EQ(Ranked.Priority, 1U);
-  EXPECT_EQ(Ranked.Aim, 500ms);
-  EXPECT_EQ(Ranked.TimeLimit, 2s);
+  const auto Timed = Route(R"(,"Priority":1,"AimMs":500,"TimeoutMs":2000)");
+  EXPECT_EQ(Timed.Aim, 500ms);
+  EXPECT_EQ(Timed.TimeLimit, 2s);
   for (const std::string Fields :
        {"", R"(,"Priority":-1,"AimMs":"500","TimeoutMs":true)",
         R"(,"Priority":1.5,"AimMs":1e30,"TimeoutMs":null)"}) {
-    const auto Unranked = Route(Fields);
-    EXPECT_FALSE(Unranked.Priority) << Fields;
-    EXPECT_EQ(Unranked.Aim, 0ms) << Fields;
-    EXPECT_EQ(Unranked.TimeLimit, 0ms) << Fields;
+    const auto Untimed = Route(Fields);
+    EXPECT_EQ(Untimed.Aim, 0ms) << Fields;
+    EXPECT_EQ(Untimed.TimeLimit, 0ms) << Fields;
   }
 }
 
--- a/tests/unresponsive_load_test.cpp
+++ b/tests/unresponsive_load_test.cpp
@@ -136,9 +136,7 @@
   Added.Upstreams.markComplete();
   PlacementOptions Placement;
   Placement.AvoidUnresponsive = Case.IsAvoiding;
-  FlowSteering::Hooks Hooks{
-      [](const FlowAddress &, const Upstream &) {}, [](const Upstream &) {},
-      [](const PacketHeader &, const SteeringDecision &) {}};
+  FlowSteering::Hooks Hooks;
   Hooks.OnUnresponsive = [this, Index](const Upstream &Target) {
     if (Case.IsSharing)
       scheduleReport(Index, Target.Registration.Id);
@@ -164,7 +162,7 @@
 void ZoneLoad::sendReport(size_t Index) {
   Instance &Sender = *Instances[Index];
   PeerReport Report{
-      {static_cast<uint32_t>(Index + 1), 7000}, "a", ++Sender.Sequence, {}, {}};
+      {static_cast<uint32_t>(Index + 1), 7000}, "a", ++Sender.Sequence, {}};
   for (const UpstreamId Id : Sender.Found)
     Report.Evidence.push_back({Id, 0, PeerDelay});
   Sender.Found.clear();
