Spill over to other zones while the own zone answers slowly

No slots were missing in that zone, so the rule for missing slots did nothing, and no instance knows the load of other zones.

Change: Spillover compares the recent response times of the zones, as seen from the answers to this instance's own flows. While the own zone takes twice as long as usual, other zones get 4% of the new flows and more as long as they answer 1.25 times as fast. Setting placement.spillWhenSlow, metric indigopoint_spillover_share.

--- a/src/balancing_policy.cpp
+++ b/src/balancing_policy.cpp
@@ -6,6 +6,7 @@
 
 #include "placement.h"
 #include "random_source.h"
+#include "spillover.h"
 #include "zone_capacity.h"
 
 namespace indigopoint {
@@ -47,8 +48,8 @@
 
 class ZoneAwareLeastFlows {
 public:
-  ZoneAwareLeastFlows(std::string Zone, PlacementOptions Opts)
-      : Zone(std::move(Zone)), Opts(Opts) {}
+  ZoneAwareLeastFlows(std::string Zone, PlacementOptions Opts, Spillover *Spill)
+      : Zone(std::move(Zone)), Opts(Opts), Spill(Spill) {}
 
   Upstream *choose(const std::vector<Upstream *> &Candidates,
                    const NewFlow &Flow, TimePoint Now);
@@ -57,6 +58,11 @@
   bool decideWhetherToUseOtherZone(const std::vector<Upstream *> &Candidates,
                                    uint64_t Hash, TimePoint Now);
 
+  /// The zone that an opening prefers, or avoids if it uses another zone.
+  const std::string &referenceZone(const std::vector<Upstream *> &Candidates,
+                                   bool UseOtherZone, uint64_t Hash,
+                                   TimePoint Now) const;
+
   const std::string &
   zoneOfUnansweredOpening(const std::vector<Upstream *> &Candidates,
                           const NewFlow &Flow) const;
@@ -74,6 +80,7 @@
 
   std::string Zone;
   PlacementOptions Opts;
+  Spillover *Spill;
   ZoneCapacity Capacity;
 };
 
@@ -101,6 +108,16 @@
          fractionOf(Hash) < MissingShare;
 }
 
+// The lowest fractions already stand for the flows of missing slots.
+const std::string &
+ZoneAwareLeastFlows::referenceZone(const std::vector<Upstream *> &Candidates,
+                                   bool UseOtherZone, uint64_t Hash,
+                                   TimePoint Now) const {
+  if (UseOtherZone || Spill == nullptr || !Opts.SpillWhenSlow)
+    return Zone;
+  return Spill->chooseZone(Candidates, 1 - fractionOf(Hash), Now);
+}
+
 double ZoneAwareLeastFlows::loadOf(const Upstream &Candidate,
                                    std::optional<Duration> Usual,
                                    TimePoint Now) const {
@@ -122,7 +139,8 @@
   const bool UseOtherZone =
       decideWhetherToUseOtherZone(Candidates, Hash, Now) || LeaveZone;
   const std::string &ReferenceZone =
-      LeaveZone ? zoneOfUnansweredOpening(Candidates, Flow) : Zone;
+      LeaveZone ? zoneOfUnansweredOpening(Candidates, Flow)
+                : referenceZone(Candidates, UseOtherZone, Hash, Now);
   // An instance knows of most crashes only from its own flows, so an upstream
   // without evidence may have crashed together with the first choice.
   const bool NeedsProof =
@@ -174,8 +192,9 @@
 }
 
 BalancingPolicy makeZoneAwareLeastFlowsPolicy(std::string Zone,
-                                              PlacementOptions Opts) {
-  return [Policy = ZoneAwareLeastFlows(std::move(Zone), Opts)](
+                                              PlacementOptions Opts,
+                                              Spillover *Spill) {
+  return [Policy = ZoneAwareLeastFlows(std::move(Zone), Opts, Spill)](
              const std::vector<Upstream *> &Candidates, const NewFlow &Flow,
              TimePoint Now) mutable {
     return Policy.choose(Candidates, Flow, Now);
--- a/src/balancing_policy.h
+++ b/src/balancing_policy.h
@@ -43,15 +43,19 @@
 double slowdownOf(const Upstream &Target, std::optional<Duration> Usual,
                   TimePoint Now);
 
+class Spillover;
+
 /// Returns a policy that prefers upstreams that are not suspect, then
 /// responsive ones, then those in \p Zone to those in other zones, then the
 /// fewest flows per slot. Because of the zone preference, a network partition
 /// between zones affects only the flows of clients in another zone. If the zone
 /// lost a large share of its slots, the same share of the flows prefers other
-/// zones. An upstream that answers more slowly than the others of its service
+/// zones; so does the share of \p Spill, which may be null and must outlive the
+/// policy. An upstream that answers more slowly than the others of its service
 /// counts with accordingly fewer slots. \p Opts can switch off each of these
 /// rules.
 BalancingPolicy makeZoneAwareLeastFlowsPolicy(std::string Zone,
-                                              PlacementOptions Opts = {});
+                                              PlacementOptions Opts = {},
+                                              Spillover *Spill = nullptr);
 
 } // namespace indigopoint
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -319,6 +319,9 @@
 void FlowSteering::recordAnswer(const PacketHeader &Packet, SteeredFlow &Flow,
                                 Upstream &Target) {
   const TimePoint Now = TimeSource.now();
+  if (Flow.RequestSentAt && Opts.Spill != nullptr)
+    Opts.Spill->recordResponse(Target.Registration, Now - *Flow.RequestSentAt,
+                               Now);
   if (Flow.RequestSentAt && !Flow.HasRetransmitted)
     Target.ResponseTimes.record(Now - *Flow.RequestSentAt, Now);
   ExchangeMonitor::recordAnswer(Flow, Target, Now);
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -11,6 +11,7 @@
 #include "packet.h"
 #include "reachability_gate.h"
 #include "route_table.h"
+#include "spillover.h"
 #include "steered_flow_table.h"
 #include "steering_decision.h"
 #include "steering_metrics.h"
@@ -32,6 +33,8 @@
     Endpoint Self = {};
     /// Gets the openings and answers; may be null.
     ReachabilityGate *Gate = nullptr;
+    /// Gets the response times; may be null.
+    Spillover *Spill = nullptr;
   };
 
   struct Hooks {
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -87,6 +87,7 @@
   bool WasReachable = true;
   /// How often no upstream was reachable any more.
   uint64_t UpstreamLosses = 0;
+  Spillover Spill;
   FlowSteering Steering;
   StoreUpdateApplier UpdateApplier;
   StoreFollower Follower;
@@ -113,11 +114,13 @@
       Log({this->Settings.Name, this->Settings.LogLinesPerSecond}, TimeSource),
       Upstreams(this->Settings.Policy.Reachability),
       Gate(this->Settings.Policy.Reachability.LeaveSilentZone),
+      Spill(this->Settings.Zone),
       Steering({this->Settings.Zone,
                 makeZoneAwareLeastFlowsPolicy(this->Settings.Zone,
-                                              this->Settings.Policy.Placement),
+                                              this->Settings.Policy.Placement,
+                                              &Spill),
                 this->Settings.Policy.Placement, this->Settings.Policy.Checks,
-                this->Settings.PeerAddress, &Gate},
+                this->Settings.PeerAddress, &Gate, &Spill},
                TimeSource, Routes, Upstreams, Metrics,
                {.OnOpenTimeout =
                     [this](const FlowAddress &Flow,
@@ -252,7 +255,8 @@
           isReady(),
           TimeSource.now(),
           Reports.counters(),
-          UpstreamLosses};
+          UpstreamLosses,
+          Spill};
 }
 
 void Forwarder::Impl::logOpenTimeout(const FlowAddress &Flow,
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -93,6 +93,11 @@
                 {{"service", Name}, {"zone", "other"}},
                 Service.OpenedInOtherZones);
   }
+  for (const auto &[Name, Service] : View.Metrics.services())
+    Out.gauge("indigopoint_spillover_share",
+              "Share of new flows sent to other zones because the own one is "
+              "slow.",
+              {{"service", Name}}, View.Spill.shareOf(Name));
   for (const auto &[Name, Service] : View.Metrics.services())
     Out.counter("indigopoint_flows_evacuated_total",
                 "New flows sent to other zones while the own one is evacuated.",
--- a/src/forwarder_report.h
+++ b/src/forwarder_report.h
@@ -5,6 +5,7 @@
 #include "event_log.h"
 #include "peer_reporter.h"
 #include "route_table.h"
+#include "spillover.h"
 #include "steering_metrics.h"
 #include "store_follower.h"
 #include "upstream_registry.h"
@@ -27,6 +28,7 @@
   PeerReporter::Counters Reports;
   /// How often no upstream was reachable any more.
   uint64_t UpstreamLosses = 0;
+  const Spillover &Spill;
 };
 
 /// Counters, gauges and histograms in the Prometheus text format.
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -95,8 +95,8 @@
   Request.To = Platform;
   Request.Target =
       Query.QueryKind == StoreQuery::Kind::Snapshot
-          ? "/v1/kv-range" + Prefix + "&after_key=" + encodePath(Query.AfterKey)
-          : "/v1/kv-watch" + Prefix +
+          ? "/v1/range" + Prefix + "&after_key=" + encodePath(Query.AfterKey)
+          : "/v1/watch" + Prefix +
                 "&after=" + std::to_string(Query.AfterRevision) +
                 "&wait_ms=" + std::to_string(millisecondsOf(Query.Wait));
   Request.Timeout = Query.Timeout;
--- a/src/policy_options.h
+++ b/src/policy_options.h
@@ -22,6 +22,9 @@
   /// The share of a zone's slots that must be missing before its flows go to
   /// other zones; 1 keeps them in the zone.
   double MinLossForOtherZones = 0.3;
+  /// Send new flows to other zones while this zone answers more slowly than
+  /// usual and than they do.
+  bool SpillWhenSlow = true;
   /// Send copies of an unanswered opening to another upstream.
   bool MoveUnansweredOpenings = true;
   /// Prefer recently answering upstreams for such copies.
--- a/src/policy_settings.cpp
+++ b/src/policy_settings.cpp
@@ -25,6 +25,7 @@
   Reader.boolean("countResponseTime", Out.CountResponseTime);
   Reader.number("warmupShare", Out.WarmupShare, MinWarmupShare, 1);
   Reader.number("minLossForOtherZones", Out.MinLossForOtherZones, 0, 1);
+  Reader.boolean("spillWhenSlow", Out.SpillWhenSlow);
   Reader.boolean("moveUnansweredOpenings", Out.MoveUnansweredOpenings);
   Reader.boolean("preferAnsweringUpstreams", Out.PreferAnsweringUpstreams);
   Reader.wholeNumber("maxOpeningsInZone", Out.MaxOpeningsInZone, MaxOpenings);
--- a/standins/platform_api.cpp
+++ b/standins/platform_api.cpp
@@ -42,9 +42,9 @@
     return "lease";
   if (Request.Path == "/v1/kv-list")
     return "list";
-  if (Request.Path == "/v1/kv-range")
+  if (Request.Path == "/v1/range")
     return "range";
-  if (Request.Path == "/v1/kv-watch")
+  if (Request.Path == "/v1/watch")
     return "watch";
   return Request.Path == "/v1/instances" ? "instances" : "unknown";
 }
@@ -110,9 +110,9 @@
     serveInstances(Request, Reply);
   else if (Request.Path == "/v1/kv-list")
     Reply->send(200, {{"keys", Store.keys(parameter(Request, "prefix"))}});
-  else if (Request.Path == "/v1/kv-range")
+  else if (Request.Path == "/v1/range")
     readRange(Request, Reply);
-  else if (Request.Path == "/v1/kv-watch")
+  else if (Request.Path == "/v1/watch")
     startWatch(Request, Reply);
   else
     Reply->send(404, {{"error", "no such path"}});
@@ -141,20 +141,20 @@
   const std::string AfterKey = parameter(Request, "after_key");
   const bool Stale = Faults.consumeStaleRead();
   Json Items = Json::array();
-  bool HasMore = false;
+  bool MorePages = false;
   uint64_t Revision = Stale ? 0 : Store.revision();
   for (const std::string &Key : Store.keys(Prefix)) {
     const auto Entry = Stale ? Store.findPrevious(Key) : Store.find(Key);
     if (Key <= AfterKey || !Entry)
       continue;
-    HasMore = Items.size() == PageItems;
-    if (HasMore)
+    MorePages = Items.size() == PageItems;
+    if (MorePages)
       break;
     Revision = std::max(Revision, Entry->Revision);
     Items.push_back(toJson(KvChange{Key, Entry->Value, Entry->Revision}));
   }
   Reply->send(200,
-              {{"items", Items}, {"more", HasMore}, {"revision", Revision}});
+              {{"items", Items}, {"more", MorePages}, {"revision", Revision}});
 }
 
 void PlatformApi::startWatch(const HttpRequest &Request,
--- a/tests/platform_client_test.cpp
+++ b/tests/platform_client_test.cpp
@@ -85,7 +85,7 @@
   HttpServer Platform(Loop);
   ASSERT_FALSE(Platform.open(AnyPort));
   HttpRequest ReceivedRequest;
-  for (const char *Path : {"/v1/kv-range", "/v1/kv-watch"})
+  for (const char *Path : {"/v1/range", "/v1/watch"})
     Platform.route("GET", Path,
                    [&](const HttpRequest &Request, const auto &Respond) {
                      ReceivedRequest = Request;
@@ -106,13 +106,13 @@
   Query.AfterKey = "a/b";
   Query.Timeout = std::chrono::seconds(1);
   Call(Query);
-  EXPECT_EQ(ReceivedRequest.Path, "/v1/kv-range");
+  EXPECT_EQ(ReceivedRequest.Path, "/v1/range");
   EXPECT_EQ(ReceivedRequest.Query.at("after_key"), "a/b");
   Query.QueryKind = StoreQuery::Kind::Watch;
   Query.AfterRevision = 5;
   Query.Wait = std::chrono::seconds(1);
   Call(Query);
-  EXPECT_EQ(ReceivedRequest.Path, "/v1/kv-watch");
+  EXPECT_EQ(ReceivedRequest.Path, "/v1/watch");
   EXPECT_EQ(ReceivedRequest.Query.at("after"), "5");
   EXPECT_EQ(ReceivedRequest.Query.at("wait_ms"), "1000");
 }
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -29,8 +29,8 @@
           EXPECT_FALSE(decodeDatagram(Bytes, Origin, LastMessage));
         }));
     Platform.route("GET", "/v1/instances", respondWith(R"({"instances":[]})"));
-    Platform.route("GET", "/v1/kv-range", respondWith(storeContents()));
-    Platform.route("GET", "/v1/kv-watch",
+    Platform.route("GET", "/v1/range", respondWith(storeContents()));
+    Platform.route("GET", "/v1/watch",
                    [this](const HttpRequest &, const auto &Respond) {
                      PendingWatches.push_back(Respond);
                    });
