Drop a check of the assembler that can no longer hold

Cause: since the reader of serve assembles from a mirror in one step, the version in force cannot rise between naming a key and decoding its value, and the other caller never let it. The branch for that case, and the key that was kept for it, were dead. Found by reading the change again, with an include that nothing used.

Change: nextKey() is const and returns its key; no behaviour changes.

--- a/src/config_assembler.cpp
+++ b/src/config_assembler.cpp
@@ -30,12 +30,7 @@
 
 } // namespace
 
-const std::string &ConfigAssembler::nextKey(ConfigVersion Current) {
-  Key = keyOfStep(Current);
-  return Key;
-}
-
-std::string ConfigAssembler::keyOfStep(ConfigVersion Current) const {
+std::string ConfigAssembler::nextKey(ConfigVersion Current) const {
   switch (CurrentStep) {
   case Step::NextChange:
     return changeKey(Prefix, ConfigVersion(Current.value() + 1));
@@ -76,9 +71,6 @@
   ConfigChange Decoded;
   if (const auto Error = decodeChange(Value, Decoded))
     return malformed(Error);
-  // The current version may have risen to this one since the key was named.
-  if (Decoded.Version <= Current && Key == changeKey(Prefix, Decoded.Version))
-    return nothingNewer();
   // A change with too many parts is rejected with the same message.
   if (Decoded.Version.value() != Current.value() + 1 ||
       Decoded.Parts > MaxParts)
--- a/src/config_assembler.h
+++ b/src/config_assembler.h
@@ -51,13 +51,12 @@
   Step step() const { return CurrentStep; }
 
   /// The key to read next, if \p Current is the version in force.
-  const std::string &nextKey(ConfigVersion Current);
+  std::string nextKey(ConfigVersion Current) const;
 
-  /// Processes the value of the last nextKey(). \p Current may have risen
-  /// since.
+  /// Processes the value of nextKey() for the same \p Current.
   Result onFound(const std::string &Value, ConfigVersion Current);
 
-  /// Called if the last nextKey() does not exist.
+  /// Called if nextKey() does not exist.
   Result onMissing();
 
 private:
@@ -65,11 +64,8 @@
   Result onChangePart(const std::string &Value);
   Result onSnapshotHeader(const std::string &Value, ConfigVersion Current);
   Result onSnapshotPart(const std::string &Value);
-  std::string keyOfStep(ConfigVersion Current) const;
 
   const std::string &Prefix;
-  /// The last nextKey().
-  std::string Key;
   Step CurrentStep = Step::SnapshotHeader;
   ConfigChange Change;
   SnapshotHeader Header;
--- a/src/steering_decision.h
+++ b/src/steering_decision.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 
