--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -13,10 +13,12 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
 import tomllib
+import traceback
 import urllib.parse
 import zlib
 
@@ -154,7 +156,8 @@
         self.events.append((now, self.revision, event))
         while self.events and self.events[0][0] < now - HISTORY_S:
             self.discarded_until = self.events.pop(0)[1]
-        self.copies.append((now, self.revision, dict(self.items)))
+        if self.era is not None:
+            self.copies.append((now, self.revision, dict(self.items)))
         self.changed.notify_all()
 
     def restore(self, age_s):
@@ -291,7 +294,7 @@
         world.loop.add(self.sock, self.read)
         world.loop.add(self.listener, self.accept)
         # By the client's end: [state, next own seq, next expected seq, own first seq].
-        self.flows = {}
+        self.flows, self.ended = {}, set()
         self.runs, self.seq, self.alive = [], 0, True
         # Opening packets, as (time, client's end, destination).
         self.openings = []
@@ -351,6 +354,10 @@
         if packet.flags & RST:
             self.flows.pop(flow, None)
             return
+        if entry is None and flow in self.ended and not packet.data:
+            if packet.flags & FIN:
+                self.send(flow, dst, ACK, packet.ack, packet.seq + 1, packet.echo)
+            return
         acknowledges = entry and packet.ack == (entry["first"] + 1) & 0xffffffff
         if entry is None or (not entry["open"] and not acknowledges):
             # A packet of a flow that this target does not hold.
@@ -364,6 +371,7 @@
         entry["open"], entry["echo"], entry["acked"] = True, packet.echo, packet.ack
         if packet.flags & FIN:
             self.flows.pop(flow)
+            self.ended.add(flow)
             self.send(flow, dst, FIN | ACK, entry["next"], packet.seq + 1, packet.echo)
             return
         if packet.data:
@@ -384,6 +392,12 @@
         start = entry["next"]
         entry["next"] = start + len(answer)
         self.send(flow, dst, ACK, start, entry["expected"], entry["echo"], answer)
+        if self.state == "draining":
+            # It closes each flow after its next response.
+            self.flows.pop(flow)
+            self.ended.add(flow)
+            self.send(flow, dst, FIN | ACK, entry["next"], entry["expected"], entry["echo"])
+            return
         self.repeat(flow, dst, entry, ACK, start, answer, 0.2, 8)
 
     def repeat(self, flow, dst, entry, flags, seq, data, delay_s, left):
@@ -500,6 +514,8 @@
         self.pending, self.on_answer, self.answered = None, None, b""
         self.sent_at, self.opened_at = time.monotonic(), None
         self.opening_answers = 0
+        # When the opening packet and its copies were sent.
+        self.syn_times = []
         client.flows[port] = self
         self.send_syn(0)
         for copies, delay_s in ((1, 0.2), (2, 0.6)):
@@ -513,6 +529,7 @@
 
     def send_syn(self, copies):
         if self.state == "opening":
+            self.syn_times.append(time.monotonic())
             self.transmit(SYN, self.seq, copies)
 
     def take(self, packet):
@@ -540,6 +557,8 @@
                 self.transmit(ACK, self.next, self.ack)
             return
         if packet.flags & FIN:
+            if self.state == "open":
+                self.transmit(ACK | FIN, self.next, self.ack)
             self.finish("closed")
             return
         if packet.data and packet.seq == self.ack:
@@ -594,7 +613,11 @@
 class World:
     """One run: the stand-ins, the forwarders and the routers in front of them."""
 
+    # The runs of this process, which end with it.
+    all = []
+
     def __init__(self, case_folder, addresses):
+        World.all.append(self)
         self.record = Record(case_folder)
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
@@ -604,6 +627,8 @@
             taken, taken + 1, taken + 2, taken + 3)
         self.internal_ports = [taken + 4, taken + 19]
         self.forwarders, self.rotation, self.misses = [], [], {}
+        # The forwarder of each flow, with the rotation for which it was chosen.
+        self.routed = {}
         self.resets, self.opened_at_target = [], {}
         self.loss = lambda sender, packet: False
         self.is_probing = True
@@ -621,7 +646,7 @@
                 ready = [f for f in self.forwarders if self.misses.get(f, 9) < 2]
                 if ready != self.rotation:
                     self.record.write("in rotation: " + " ".join(f.name for f in ready))
-                self.rotation = ready
+                    self.rotation = ready
                 time.sleep(0.5)
         threading.Thread(target=probe, daemon=True).start()
 
@@ -629,8 +654,12 @@
         """The forwarder of a flow: the `steady` hash moves only the flows of a
         forwarder that joins or leaves."""
         choices = self.rotation or self.forwarders
-        key = repr((packet.source, packet.destination))
-        return max(choices, key=lambda f: zlib.crc32((f.name + key).encode()))
+        known = self.routed.get(packet.source)
+        if known is None or known[0] is not choices:
+            key = repr((packet.source, packet.destination))
+            known = (choices, max(choices, key=lambda f: zlib.crc32((f.name + key).encode())))
+            self.routed[packet.source] = known
+        return known[1]
 
     def to_system(self, sock, packet):
         try:
@@ -668,6 +697,19 @@
                 forwarder.process.wait()
 
 
+def run_case(main):
+    """Exits with the result of a case; with 2 if it could not run."""
+    code = 2
+    try:
+        code = main()
+    except Exception:
+        traceback.print_exc()
+    finally:
+        for world in World.all:
+            world.close()
+    sys.exit(code)
+
+
 def route(name, address, service, kind="non_idempotent", time_limit_ms=600, aim_ms=120):
     """A route of the operator's configuration."""
     return {"Name": name, "Host": address[0], "Prefix": "/%d/" % address[1], "RouteType": kind,
