--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -540,6 +540,7 @@
             is_near = abs(((packet.seq - self.ack + 0x80000000) & 0xffffffff) - 0x80000000) <= 76800
             if self.state == "opening" or is_near:
                 was_open = self.state == "open"
+                self.reset_with = self.pending
                 self.world.on_reset(self, was_open, by_system)
                 self.finish("reset")
             return
