--- a/review/found/silent-connection/scenario.py
+++ b/review/found/silent-connection/scenario.py
@@ -9,7 +9,7 @@
 import time
 
 sys.dont_write_bytecode = True
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "lib"))
 import standins as s
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -17,7 +17,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 import traceback
 import urllib.parse
 import zlib
@@ -260,23 +259,25 @@
     return sock
 
 
-def free_port(addresses):
-    """A port that is free for UDP and TCP on all these addresses."""
-    for port in range(20000 + os.getpid() % 4000, 32000):
+def free_ports(addresses, count):
+    """The first of some consecutive ports that are free for UDP and TCP on all these
+    addresses."""
+    for port in range(20000 + os.getpid() % 4000, 32000, count):
         socks = []
         try:
             for address in addresses:
-                for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
-                    sock = socket.socket(socket.AF_INET, kind)
-                    socks.append(sock)
-                    sock.bind((address, port))
+                for number in range(port, port + count):
+                    for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+                        sock = socket.socket(socket.AF_INET, kind)
+                        socks.append(sock)
+                        sock.bind((address, number))
             return port
         except OSError:
             continue
         finally:
             for sock in socks:
                 sock.close()
-    raise OSError("no free port")
+    raise OSError("no free ports")
 
 
 class Target:
@@ -433,8 +434,8 @@
             "InternalPortRange": world.internal_ports, "HeartbeatMs": int(HEARTBEAT_S * 1000),
             "Limits": {"LinkMbps": 1000.0}, "Bounds": BOUNDS,
             "platform": {"Address": "%s:%d" % store}, **fields}
-        with open(os.path.join(REPOSITORY, "deploy/system.toml"), "rb") as file:
-            role = tomllib.load(file)["roles"]["forwarder"]
+        with open(os.path.join(REPOSITORY, "deploy/system.toml")) as file:
+            role = dict(re.findall(r'^(run|template) = "(.*)"$', file.read(), re.MULTILINE))
         with open(os.path.join(REPOSITORY, role["template"])) as file:
             settings = fill(file.read(), platform_fields)
         self.settings = os.path.join(world.folder, name + ".json")
@@ -623,10 +624,10 @@
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
         self.loop = Loop()
-        taken = free_port(addresses)
+        taken = free_ports(addresses, 6)
         self.data_port, self.ready_port, self.control_port, self.target_port = (
             taken, taken + 1, taken + 2, taken + 3)
-        self.internal_ports = [taken + 4, taken + 19]
+        self.internal_ports = [taken + 4, taken + 5]
         self.forwarders, self.rotation, self.misses = [], [], {}
         # The forwarder of each flow, with the rotation for which it was chosen.
         self.routed = {}
