--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -37,6 +37,7 @@
     "flow-opened",
     "flow-moved",
     "flow-adopted",
+    "flow-tag-conflict",
     "flow-reset",
     "packet-dropped",
     "lines-suppressed"};
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -57,12 +57,14 @@
   /// went through another instance; the tag of the packet identified the
   /// upstream.
   FlowAdopted,
+  /// A packet of an open flow named another upstream than the flow's.
+  FlowTagConflict,
   FlowReset,
   PacketDropped,
   LinesSuppressed
 };
 
-constexpr size_t LogEventCount = 28;
+constexpr size_t LogEventCount = 29;
 
 std::string_view nameOf(LogEvent Value);
 
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -14,6 +14,13 @@
 // Sequence numbers wrap around.
 bool isAfter(uint32_t A, uint32_t B) { return static_cast<int32_t>(A - B) > 0; }
 
+// Whether an opening packet is a copy of the one that opened the flow. A client
+// that uses its port again begins with another sequence number.
+bool isOpeningOf(const PacketHeader &Packet, const SteeredFlow &Flow) {
+  return Flow.IsAdopted ? isReachable(Packet.Sequence, Flow.InitialSequence)
+                        : Packet.Sequence == Flow.InitialSequence;
+}
+
 } // namespace
 
 SteeringDecision FlowSteering::steer(const PacketHeader &Packet) {
@@ -64,7 +71,7 @@
   const Route *MatchedRoute = Routes.find(Packet.Flow.ServiceAddress);
   if (MatchedRoute == nullptr)
     return {SteeringAction::Reset, SteeringReason::NoRoute, nullptr};
-  if (Flow != nullptr && Flow->InitialSequence != Packet.Sequence) {
+  if (Flow != nullptr && !isOpeningOf(Packet, *Flow)) {
     Exchanges.recordAbandonment(*Flow, TimeSource.now());
     uncountFlow(*Flow);
     Flows.erase(Packet.Flow);
@@ -85,18 +92,17 @@
         Upstreams.evacuations().contains(CurrentUpstream->Registration.Zone)));
   if (!MayMove)
     return CurrentUpstream != nullptr
-               ? forwardOpening(SteeringReason::RepeatedOpening,
+               ? forwardOpening(SteeringReason::RepeatedOpening, Packet, Flow,
                                 *CurrentUpstream)
                : assignNewUpstream(Packet, *MatchedRoute, Flow, {});
   // If the upstream answered other flows since this one was opened, it works
   // and a packet of this flow was lost. If the opening were sent to another
-  // upstream, both could answer, and the client would then use the tag of
-  // whichever answer arrived last.
-  if (CurrentUpstream != nullptr &&
-      canAssignFlow(*CurrentUpstream, Packet.Flow) &&
+  // upstream, both could answer.
+  if (CurrentUpstream != nullptr && canAssignFlow(*CurrentUpstream, Packet) &&
       (!Opts.Placement.MoveUnansweredOpenings ||
        CurrentUpstream->Reachability.lastAnswer() > Flow->OpenedAt))
-    return forwardOpening(SteeringReason::RepeatedOpening, *CurrentUpstream);
+    return forwardOpening(SteeringReason::RepeatedOpening, Packet, Flow,
+                          *CurrentUpstream);
   return assignNewUpstream(Packet, *MatchedRoute, Flow, Flow->Upstream);
 }
 
@@ -108,7 +114,7 @@
   const RouteShare *Share = RouteTable::chooseShare(MatchedRoute, Packet.Flow);
   const NewFlow FlowToOpen{Packet.Flow, UpstreamToAvoid, Packet.AckNumber};
   Upstream *Target =
-      Share == nullptr ? nullptr : choose(Share->Service, FlowToOpen);
+      Share == nullptr ? nullptr : choose(Share->Service, FlowToOpen, Packet);
   if (Target == nullptr) {
     // Another instance may have forwarded an earlier copy of a retransmitted
     // opening, so the flow could be open; only a first opening packet is reset.
@@ -120,9 +126,13 @@
             SteeringReason::NoUpstream, nullptr};
   }
   const bool IsMoved = Flow != nullptr && UpstreamToAvoid != UpstreamId();
+  // An earlier copy may have reached another upstream, through this instance or
+  // through another one.
+  const bool IsContested = Flow != nullptr || Packet.AckNumber != 0;
   if (Flow == nullptr)
     Flow = Flows.add(Packet.Flow);
   if (Flow != nullptr) {
+    Flow->IsContested = IsContested;
     assign(*Flow, Target->Registration.Id);
     Flow->InitialSequence = Packet.Sequence;
     Flow->NextSequence = Packet.Sequence + 1;
@@ -141,7 +151,7 @@
     ++Service.OpenedDuringEvacuation;
   return forwardOpening(IsMoved ? SteeringReason::MovedOpening
                                 : SteeringReason::NewFlow,
-                        *Target);
+                        Packet, Flow, *Target);
 }
 
 // An upstream resets an opening that it refuses; the reset does not pass
@@ -171,22 +181,15 @@
          Warmups.mayOpen(Target, WarmupRate, TimeSource.now());
 }
 
-// If the flow's tag at this upstream collides with the tag at another one,
-// later packets would go to that one.
-bool FlowSteering::isTagUnique(const Upstream &Target,
-                               const FlowAddress &Flow) {
-  return Upstreams.findByTag(Flow, tagOf(Flow, Target.Registration.Id)) ==
-         &Target;
-}
-
 bool FlowSteering::canAssignFlow(const Upstream &Target,
-                                 const FlowAddress &Flow) {
+                                 const PacketHeader &Opening) {
   const ServiceSettings &Service = Routes.service(Target.Registration.Service);
-  return mayOpenAt(Target, Service.WarmupRate) && isTagUnique(Target, Flow);
+  return mayOpenAt(Target, Service.WarmupRate) && isTagUnique(Target, Opening);
 }
 
 Upstream *FlowSteering::choose(const std::string &Service,
-                               const NewFlow &FlowToOpen) {
+                               const NewFlow &FlowToOpen,
+                               const PacketHeader &Opening) {
   const double WarmupRate = Routes.service(Service).WarmupRate;
   std::vector<Upstream *> Candidates;
   for (Upstream *Candidate : Upstreams.upstreamsOfService(Service))
@@ -196,18 +199,28 @@
   // Collisions of tags are rare, so only the choice is checked.
   while (Upstream *Best =
              Opts.Policy(Candidates, FlowToOpen, TimeSource.now())) {
-    if (isTagUnique(*Best, FlowToOpen.Address))
+    if (isTagUnique(*Best, Opening))
       return Best;
     std::erase(Candidates, Best);
   }
   return nullptr;
 }
 
+// A late copy must not give the upstream of an open flow the tag of an opening
+// packet again, since the client would repeat that.
 SteeringDecision FlowSteering::forwardOpening(SteeringReason Reason,
+                                              const PacketHeader &Packet,
+                                              const SteeredFlow *Flow,
                                               Upstream &Target) {
   Warmups.recordOpening(Target, TimeSource.now());
   recordWait(Target);
-  return forwardUnlessAddressReused(Reason, Target);
+  const bool IsOpening =
+      Flow == nullptr || Flow->CurrentPhase == SteeredFlow::Phase::Opening;
+  const UpstreamId Id = Target.Registration.Id;
+  return forwardUnlessAddressReused(
+      Reason, Target,
+      IsOpening ? openingTagOf(Packet.Flow, Id, Packet.Sequence)
+                : tagOf(Packet.Flow, Id));
 }
 
 void FlowSteering::recordWait(const Upstream &Target) {
@@ -229,42 +242,25 @@
     return {SteeringAction::Reset, SteeringReason::RouteRemoved, nullptr};
   }
   if (Flow == nullptr)
-    return steerByTag(Packet);
-  if (Flow->CurrentPhase == SteeredFlow::Phase::Opening) {
-    // The first packet after the opening carries the tag of the upstream whose
-    // answer the client accepted. That upstream differs from the stored one if
-    // a retransmission of the opening was sent to another upstream.
-    Upstream *AnsweringUpstream = Upstreams.findByTag(Packet.Flow, Packet.Tag);
-    if (AnsweringUpstream != nullptr)
-      assign(*Flow, AnsweringUpstream->Registration.Id);
+    return adoptFlow(Packet);
+  if (Flow->CurrentPhase == SteeredFlow::Phase::Opening &&
+      Packet.Tag != FlowTag()) {
+    // The upstream whose answer the client accepted differs from the stored one
+    // if another copy of the opening was sent elsewhere.
+    const Identification Found = identify(Packet);
+    if (Found.Target == nullptr)
+      return dropUnidentified(Packet, Flow);
+    assign(*Flow, Found.Target->Registration.Id);
   }
   Upstream *Target = Upstreams.find(Flow->Upstream);
   if (Target == nullptr)
     return {SteeringAction::Drop, SteeringReason::UnknownTag, nullptr};
+  checkTag(Packet, *Flow, *Target);
   const bool IsRetransmission = updateFlow(Packet, *Flow, *Target);
   return forwardOrReset(Packet, SteeringReason::KnownFlow, IsRetransmission,
                         *Target);
 }
 
-SteeringDecision FlowSteering::steerByTag(const PacketHeader &Packet) {
-  // The tag may identify an upstream of any service. After a restart, the
-  // services of earlier route versions are unknown; a matching tag was written
-  // when the flow was opened, so the route allowed its service then.
-  Upstream *Target = Upstreams.findByTag(Packet.Flow, Packet.Tag);
-  if (Target == nullptr)
-    return {SteeringAction::Drop, SteeringReason::UnknownTag, nullptr};
-  if (SteeredFlow *Flow = Flows.add(Packet.Flow)) {
-    assign(*Flow, Target->Registration.Id);
-    Flow->CurrentPhase = SteeredFlow::Phase::Open;
-    Flow->HighestAck = Packet.AckNumber;
-    Flow->NextSequence = Packet.Sequence + Packet.DataBytes;
-    Flow->OpenedAt = Flow->LastSeen = TimeSource.now();
-    if (Packet.IsFinal || Packet.IsReset)
-      setPhase(*Flow, SteeredFlow::Phase::Closing);
-  }
-  return forwardOrReset(Packet, SteeringReason::TaggedFlow, false, *Target);
-}
-
 bool FlowSteering::updateFlow(const PacketHeader &Packet, SteeredFlow &Flow,
                               Upstream &Target) {
   const TimePoint Now = TimeSource.now();
@@ -278,6 +274,12 @@
     TypicalOpenLatency += (Latency - TypicalOpenLatency) / 8;
     Service.OpenLatency(static_cast<double>(Latency.count()));
     Service.OpenLatencySum += Latency;
+    if (Flow.IsContested) {
+      const FlowPlacement Placement{Packet.Flow, Target.Registration.Id,
+                                    Flow.InitialSequence};
+      Placements.record(Placement, Now);
+      FlowHooks.OnPlacement(Placement);
+    }
   }
   // The client acknowledges data that it had not received before.
   const bool HasNewAnswer =
@@ -334,12 +336,12 @@
   Target.Reachability.recordAnswer(Now);
 }
 
-SteeringDecision
-FlowSteering::forwardUnlessAddressReused(SteeringReason Reason,
-                                         Upstream &Target) const {
+SteeringDecision FlowSteering::forwardUnlessAddressReused(SteeringReason Reason,
+                                                          Upstream &Target,
+                                                          FlowTag Tag) const {
   if (Upstreams.isAddressReused(Target))
     return {SteeringAction::Drop, SteeringReason::AddressReused, &Target};
-  return {SteeringAction::Forward, Reason, &Target};
+  return {SteeringAction::Forward, Reason, &Target, Tag};
 }
 
 // Flows in the Closing phase do not count as load of their upstream.
@@ -388,6 +390,7 @@
   Exchanges.reportOverdue(Now);
   Exchanges.expire(Now);
   Upstreams.expire(Now, FlowLifetime);
+  Placements.expireBefore(Now - FlowLifetime);
   Warmups.expire(Now);
   std::erase_if(RetransmittingFlows, [this](const auto &Entry) {
     const SteeredFlow *Flow = Flows.find(Entry.second);
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -8,6 +8,7 @@
 #include "balancing_policy.h"
 #include "clock.h"
 #include "exchange_monitor.h"
+#include "flow_placement_table.h"
 #include "packet.h"
 #include "reachability_gate.h"
 #include "route_table.h"
@@ -57,6 +58,20 @@
     WarmupLimiter::InstancesHook InstancesOfZone = [](const std::string &) {
       return std::vector<Endpoint>();
     };
+    /// Called at the first packet of an open flow that names another upstream
+    /// than the flow's (the last argument).
+    std::function<void(const FlowAddress &, const Upstream &, const Upstream &)>
+        OnTagConflict =
+            [](const FlowAddress &, const Upstream &, const Upstream &) {};
+    /// Called when a flow is open whose opening packet may have reached several
+    /// upstreams, for the other instances of the zone.
+    std::function<void(const FlowPlacement &)> OnPlacement =
+        [](const FlowPlacement &) {};
+    /// Called when the tag of a packet identifies no upstream. The other
+    /// instances of the zone may know the flow; the caller passes their answers
+    /// to recordPlacement.
+    std::function<void(const FlowAddress &)> OnUnidentifiedFlow =
+        [](const FlowAddress &) {};
     /// Called when this instance has new evidence that an upstream is
     /// unresponsive, for the other instances of its zone.
     std::function<void(const Upstream &)> OnUnresponsive =
@@ -89,6 +104,19 @@
   /// Processes evidence that another instance of the zone reported.
   void recordPeerEvidence(const PeerReport &Report);
 
+  /// Processes the placement of a flow that another instance reported.
+  void recordPlacement(const FlowPlacement &Placement);
+
+  /// Where an open flow is, as this instance or another one found; nothing if
+  /// that is not known.
+  std::optional<FlowPlacement> placementOf(const FlowAddress &Flow);
+
+  /// The placements that other instances need when this one stops, newest
+  /// first.
+  std::vector<FlowPlacement> recentPlacements(size_t Max) const {
+    return Placements.newest(Max);
+  }
+
   /// Resets the flows of upstreams that were found dead since the last call, if
   /// their clients lose nothing by it. Iterates over all flows if there is one.
   void resetFlowsOfDeadUpstreams();
@@ -118,11 +146,27 @@
                                      const Route &MatchedRoute,
                                      SteeredFlow *Flow,
                                      UpstreamId UpstreamToAvoid);
-  /// Steers a packet of an unknown flow to the upstream that its tag
-  /// identifies, and adds the flow to the table.
-  SteeringDecision steerByTag(const PacketHeader &Packet);
+  /// Steers a packet of an unknown flow to the upstream that serves the flow,
+  /// and adds the flow to the table.
+  SteeringDecision adoptFlow(const PacketHeader &Packet);
+  /// An upstream that serves a flow, and how it was found.
+  struct Identification {
+    Upstream *Target = nullptr;
+    SteeringReason Reason = SteeringReason::UnknownTag;
+  };
+  /// Finds the upstream of a flow without this instance's own state. There is
+  /// none if the tag may name an upstream that does not serve the flow.
+  Identification identify(const PacketHeader &Packet);
+  /// \p Flow is null if this instance did not see the flow's opening.
+  SteeringDecision dropUnidentified(const PacketHeader &Packet,
+                                    const SteeredFlow *Flow);
+  /// Reports the first packet of an open flow that names another upstream than
+  /// \p Target.
+  void checkTag(const PacketHeader &Packet, SteeredFlow &Flow,
+                const Upstream &Target);
   SteeringDecision forwardUnlessAddressReused(SteeringReason Reason,
-                                              Upstream &Target) const;
+                                              Upstream &Target,
+                                              FlowTag Tag) const;
   /// Forwards a packet of an open flow, or resets the flow or drops the packet
   /// if the upstream has stopped.
   SteeringDecision forwardOrReset(const PacketHeader &Packet,
@@ -146,15 +190,19 @@
                  Upstream &Target);
   /// Resets the flows of a dead upstream whose clients wait for an answer.
   void resetWaitingFlows(Upstream &DeadUpstream);
-  Upstream *choose(const std::string &Service, const NewFlow &FlowToOpen);
+  Upstream *choose(const std::string &Service, const NewFlow &FlowToOpen,
+                   const PacketHeader &Opening);
   /// Whether the upstream takes a new flow now, at a limit of \p WarmupRate
   /// flows a second while it is cold.
   bool mayOpenAt(const Upstream &Target, double WarmupRate);
-  bool isTagUnique(const Upstream &Target, const FlowAddress &Flow);
-  bool canAssignFlow(const Upstream &Target, const FlowAddress &Flow);
+  /// Whether no other upstream has one of the flow's tags at \p Target.
+  bool isTagUnique(const Upstream &Target, const PacketHeader &Opening);
+  bool canAssignFlow(const Upstream &Target, const PacketHeader &Opening);
   /// Forwards an opening packet and counts it for the limit of cold upstreams
-  /// and for the reachability gate.
-  SteeringDecision forwardOpening(SteeringReason Reason, Upstream &Target);
+  /// and for the reachability gate. \p Flow may be null.
+  SteeringDecision forwardOpening(SteeringReason Reason,
+                                  const PacketHeader &Packet,
+                                  const SteeredFlow *Flow, Upstream &Target);
   /// Tells the reachability gate that the upstream has to answer.
   void recordWait(const Upstream &Target);
   /// Updates the flow and its upstream's reachability from a packet after the
@@ -181,6 +229,7 @@
   Hooks FlowHooks;
   WarmupLimiter Warmups;
   SteeredFlowTable Flows;
+  FlowPlacementTable Placements;
   ExchangeMonitor Exchanges;
   /// The flow that each client opened last, by the client's address.
   std::unordered_map<uint32_t, FlowAddress> LastFlowByClient;
--- a/src/flow_steering_resets.cpp
+++ b/src/flow_steering_resets.cpp
@@ -141,7 +141,8 @@
                                               Upstream &Target) {
   const auto ResetReason = reasonToReset(Packet, Target, IsRetransmission);
   if (!ResetReason)
-    return {SteeringAction::Forward, Reason, &Target};
+    return {SteeringAction::Forward, Reason, &Target,
+            tagOf(Packet.Flow, Target.Registration.Id)};
   if (Packet.IsFinal || Packet.IsReset || Packet.DataBytes == 0)
     return {SteeringAction::Drop, *ResetReason, &Target};
   if (SteeredFlow *Flow = Flows.find(Packet.Flow))
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -8,6 +8,7 @@
 #include "event_loop.h"
 #include "flow_steering.h"
 #include "forwarder_report.h"
+#include "held_packets.h"
 #include "http_server.h"
 #include "pause_guard.h"
 #include "peer_reporter.h"
@@ -32,6 +33,10 @@
 // retransmit after 200 ms, and most give up after 500 ms.
 constexpr Duration HoldTime = std::chrono::milliseconds(400);
 
+// Reports carry about 100 placements in the second in which a stopping instance
+// still gets packets.
+constexpr size_t MaxPlacementsAtStop = 100;
+
 // A metrics connection that is idle for this long is closed.
 constexpr Duration ReportIdleTimeout = std::chrono::seconds(10);
 
@@ -40,6 +45,9 @@
 constexpr int PeriodsUntilRemoval = 3;
 constexpr Duration RemovalDelay = std::chrono::seconds(1);
 
+const SteeringDecision UnidentifiedDrop{SteeringAction::Drop,
+                                        SteeringReason::UnknownTag};
+
 Duration registrationLifetime(const ForwarderSettings &Settings) {
   return Settings.RegistrationPeriod * PeriodsUntilRemoval + RemovalDelay;
 }
@@ -56,10 +64,18 @@
   void logUnresponsive(const Upstream &Target, const char *EvidenceSource);
   void logOpenTimeout(const FlowAddress &Flow,
                       const Upstream &UnresponsiveUpstream);
+  void logTagConflict(const FlowAddress &Flow, const Upstream &Target,
+                      const Upstream &Named);
   void startCheck(const Upstream &Suspect);
   void onCheckResult(UpstreamId Id, bool IsAccepting);
   void startReceiving();
   void receive(std::string_view Datagram);
+  /// Steers and sends a packet. Returns whether it must be held.
+  bool process(const PacketHeader &Packet, std::string_view Datagram);
+  /// Steers the held packets of a flow again.
+  void recordPlacements(const std::vector<FlowPlacement> &Placements);
+  void releaseHeld(const FlowAddress &Flow);
+  void dropExpired();
   void sendReset(const PacketHeader &Packet);
   void logDecision(const PacketHeader &Packet,
                    const SteeringDecision &Decision);
@@ -94,6 +110,7 @@
   PeerReporter Reports;
   UpstreamCheck Checks;
   UdpEndpoint DataSocket;
+  HeldPackets Held;
   HttpServer ReadinessServer;
   HttpServer ReportServer;
   LoopEvent MaintenanceTimer;
@@ -144,6 +161,17 @@
                     [this](const std::string &Zone) {
                       return Follower.membersOf(Zone);
                     },
+                .OnTagConflict =
+                    [this](const FlowAddress &Flow, const Upstream &Target,
+                           const Upstream &Named) {
+                      logTagConflict(Flow, Target, Named);
+                    },
+                .OnPlacement =
+                    [this](const FlowPlacement &Placement) {
+                      Reports.addPlacement(Placement);
+                    },
+                .OnUnidentifiedFlow =
+                    [this](const FlowAddress &Flow) { Reports.addQuery(Flow); },
                 .OnUnresponsive =
                     [this](const Upstream &Target) {
                       Reports.addEvidence(Target, false);
@@ -175,6 +203,10 @@
               {[this] { return Follower.recentPeersInZone(); },
                [this](const PeerReport &Report) {
                  Steering.recordPeerEvidence(Report);
+                 recordPlacements(Report.Placements);
+               },
+               [this](const FlowAddress &Flow) {
+                 return Steering.placementOf(Flow);
                }}),
       Checks(Loop, this->Settings.Policy.Checks.UseReference,
              [this](UpstreamId Id, bool IsAccepting) {
@@ -262,29 +294,23 @@
 void Forwarder::Impl::logOpenTimeout(const FlowAddress &Flow,
                                      const Upstream &UnresponsiveUpstream) {
   Log.write(LogEvent::UpstreamSilent, [&] {
-    const UpstreamRegistration &Registration =
-        UnresponsiveUpstream.Registration;
-    EventLog::Fields Line = {{"flow", toString(Flow)},
-                             {"upstream", toHex(Registration.Id)},
-                             {"service", Registration.Service},
-                             {"zone", Registration.Zone},
-                             {"state", nameOf(UnresponsiveUpstream.State)}};
+    EventLog::Fields Line = describeOpenTimeout(Flow, UnresponsiveUpstream);
     Line.update(storeStateFields());
     return Line;
   });
 }
 
+void Forwarder::Impl::logTagConflict(const FlowAddress &Flow,
+                                     const Upstream &Target,
+                                     const Upstream &Named) {
+  Log.write(LogEvent::FlowTagConflict,
+            [&] { return describeTagConflict(Flow, Target, Named); });
+}
+
 void Forwarder::Impl::logUnresponsive(const Upstream &Target,
                                       const char *EvidenceSource) {
-  const Duration OldestAge =
-      Target.Exchanges.oldestAge(TimeSource.now()).value_or(Duration());
   Log.write(LogEvent::UpstreamUnresponsive, [&] {
-    return EventLog::Fields{{"upstream", toHex(Target.Registration.Id)},
-                            {"service", Target.Registration.Service},
-                            {"zone", Target.Registration.Zone},
-                            {"source", EvidenceSource},
-                            {"openExchanges", Target.Exchanges.count()},
-                            {"oldestMs", millisecondsOf(OldestAge)}};
+    return describeUnresponsive(Target, EvidenceSource, TimeSource.now());
   });
 }
 
@@ -337,16 +363,52 @@
     return;
   }
   LastPacketTime = TimeSource.now();
+  if (process(Packet, Datagram)) {
+    if (!Held.add(Packet, Datagram, TimeSource.now()))
+      logDecision(Packet, UnidentifiedDrop);
+  } else if (!Held.isEmpty()) {
+    releaseHeld(Packet.Flow);
+  }
+}
+
+bool Forwarder::Impl::process(const PacketHeader &Packet,
+                              std::string_view Datagram) {
   const SteeringDecision Decision = Steering.steer(Packet);
+  if (Decision.MayHold)
+    return true;
   if (Decision.Action == SteeringAction::Forward) {
     const UpstreamRegistration &Target = Decision.Target->Registration;
-    Protocol.EncodeForward(Datagram, Target.Id, tagOf(Packet.Flow, Target.Id),
+    Protocol.EncodeForward(Datagram, Target.Id, Decision.Tag,
                            DataSocket.nextBuffer());
     DataSocket.commit(Target.Address);
   } else if (Decision.Action == SteeringAction::Reset) {
     sendReset(Packet);
   }
   logDecision(Packet, Decision);
+  return false;
+}
+
+void Forwarder::Impl::releaseHeld(const FlowAddress &Flow) {
+  for (const HeldPackets::Entry &Entry : Held.take(Flow)) {
+    if (!process(Entry.Header, Entry.Datagram))
+      ++Metrics.ReleasedPackets;
+    else if (!Held.add(Entry.Header, Entry.Datagram, Entry.HeldAt))
+      logDecision(Entry.Header, UnidentifiedDrop);
+  }
+}
+
+void Forwarder::Impl::recordPlacements(
+    const std::vector<FlowPlacement> &Placements) {
+  for (const FlowPlacement &Placement : Placements) {
+    Steering.recordPlacement(Placement);
+    releaseHeld(Placement.Flow);
+  }
+  DataSocket.flush();
+}
+
+void Forwarder::Impl::dropExpired() {
+  for (const HeldPackets::Entry &Entry : Held.takeExpired(TimeSource.now()))
+    logDecision(Entry.Header, UnidentifiedDrop);
 }
 
 // Clients receive at the same port number as this process.
@@ -378,6 +440,7 @@
   Upstreams.recordStoreSync(Follower.sync().confirmedAt());
   UpdateApplier.applyDue();
   updateGate();
+  dropExpired();
   Steering.resetFlowsOfDeadUpstreams();
   DataSocket.flush();
   if (TimeSource.now() - LastExpiry >= ExpiryPeriod) {
@@ -419,6 +482,10 @@
     return;
   Drain.emplace(TimeSource.now(), Settings.StopLimit);
   Follower.stop();
+  // Instances that were restarted since do not know these placements.
+  for (const FlowPlacement &Placement :
+       Steering.recentPlacements(MaxPlacementsAtStop))
+    Reports.addPlacement(Placement);
   Log.write(LogEvent::Stopping, [this] {
     return EventLog::Fields{{"flows", Steering.flows()}};
   });
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -80,6 +80,12 @@
                      {"reason", std::string(nameOf(R))}},
                     Count);
     }
+  Out.counter("indigopoint_flow_tag_conflicts_total",
+              "Open flows of which a packet named another upstream.", {},
+              View.Metrics.TagConflicts);
+  Out.counter("indigopoint_packets_released_total",
+              "Packets that were held until their upstream was known.", {},
+              View.Metrics.ReleasedPackets);
   Out.counter("indigopoint_datagrams_refused_total",
               "Datagrams that were no packet of a client.", {},
               View.InvalidDatagrams);
--- a/src/gen/protocol_types.cpp
+++ b/src/gen/protocol_types.cpp
@@ -2391,6 +2391,89 @@
   return *this;
 }
 
+ReportedFlow::~ReportedFlow() noexcept {
+}
+
+
+void ReportedFlow::__set_client(const Endpoint& val) {
+  this->client = val;
+}
+
+void ReportedFlow::__set_serviceAddress(const Endpoint& val) {
+  this->serviceAddress = val;
+}
+
+void swap(ReportedFlow &a, ReportedFlow &b) {
+  using ::std::swap;
+  swap(a.client, b.client);
+  swap(a.serviceAddress, b.serviceAddress);
+}
+
+ReportedFlow::ReportedFlow(const ReportedFlow& other216) noexcept {
+  client = other216.client;
+  serviceAddress = other216.serviceAddress;
+}
+ReportedFlow::ReportedFlow(ReportedFlow&& other217) noexcept {
+  client = std::move(other217.client);
+  serviceAddress = std::move(other217.serviceAddress);
+}
+ReportedFlow& ReportedFlow::operator=(const ReportedFlow& other218) noexcept {
+  client = other218.client;
+  serviceAddress = other218.serviceAddress;
+  return *this;
+}
+ReportedFlow& ReportedFlow::operator=(ReportedFlow&& other219) noexcept {
+  client = std::move(other219.client);
+  serviceAddress = std::move(other219.serviceAddress);
+  return *this;
+}
+
+ReportedPlacement::~ReportedPlacement() noexcept {
+}
+
+
+void ReportedPlacement::__set_flow(const ReportedFlow& val) {
+  this->flow = val;
+}
+
+void ReportedPlacement::__set_upstream(const int64_t val) {
+  this->upstream = val;
+}
+
+void ReportedPlacement::__set_sequence(const int32_t val) {
+  this->sequence = val;
+}
+
+void swap(ReportedPlacement &a, ReportedPlacement &b) {
+  using ::std::swap;
+  swap(a.flow, b.flow);
+  swap(a.upstream, b.upstream);
+  swap(a.sequence, b.sequence);
+}
+
+ReportedPlacement::ReportedPlacement(const ReportedPlacement& other220) noexcept {
+  flow = other220.flow;
+  upstream = other220.upstream;
+  sequence = other220.sequence;
+}
+ReportedPlacement::ReportedPlacement(ReportedPlacement&& other221) noexcept {
+  flow = std::move(other221.flow);
+  upstream = other221.upstream;
+  sequence = other221.sequence;
+}
+ReportedPlacement& ReportedPlacement::operator=(const ReportedPlacement& other222) noexcept {
+  flow = other222.flow;
+  upstream = other222.upstream;
+  sequence = other222.sequence;
+  return *this;
+}
+ReportedPlacement& ReportedPlacement::operator=(ReportedPlacement&& other223) noexcept {
+  flow = std::move(other223.flow);
+  upstream = other223.upstream;
+  sequence = other223.sequence;
+  return *this;
+}
+
 PeerReport::~PeerReport() noexcept {
 }
 
@@ -2415,6 +2498,14 @@
   this->evidence = val;
 }
 
+void PeerReport::__set_placements(const std::vector<ReportedPlacement> & val) {
+  this->placements = val;
+}
+
+void PeerReport::__set_queries(const std::vector<ReportedFlow> & val) {
+  this->queries = val;
+}
+
 void swap(PeerReport &a, PeerReport &b) {
   using ::std::swap;
   swap(a.version, b.version);
@@ -2422,41 +2513,51 @@
   swap(a.zone, b.zone);
   swap(a.sequence, b.sequence);
   swap(a.evidence, b.evidence);
+  swap(a.placements, b.placements);
+  swap(a.queries, b.queries);
   swap(a.__isset, b.__isset);
 }
 
-PeerReport::PeerReport(const PeerReport& other222) {
-  version = other222.version;
-  sender = other222.sender;
-  zone = other222.zone;
-  sequence = other222.sequence;
-  evidence = other222.evidence;
-  __isset = other222.__isset;
-}
-PeerReport::PeerReport(PeerReport&& other223) noexcept {
-  version = other223.version;
-  sender = std::move(other223.sender);
-  zone = std::move(other223.zone);
-  sequence = other223.sequence;
-  evidence = std::move(other223.evidence);
-  __isset = other223.__isset;
-}
-PeerReport& PeerReport::operator=(const PeerReport& other224) {
-  version = other224.version;
-  sender = other224.sender;
-  zone = other224.zone;
-  sequence = other224.sequence;
-  evidence = other224.evidence;
-  __isset = other224.__isset;
-  return *this;
-}
-PeerReport& PeerReport::operator=(PeerReport&& other225) noexcept {
-  version = other225.version;
-  sender = std::move(other225.sender);
-  zone = std::move(other225.zone);
-  sequence = other225.sequence;
-  evidence = std::move(other225.evidence);
-  __isset = other225.__isset;
+PeerReport::PeerReport(const PeerReport& other242) {
+  version = other242.version;
+  sender = other242.sender;
+  zone = other242.zone;
+  sequence = other242.sequence;
+  evidence = other242.evidence;
+  placements = other242.placements;
+  queries = other242.queries;
+  __isset = other242.__isset;
+}
+PeerReport::PeerReport(PeerReport&& other243) noexcept {
+  version = other243.version;
+  sender = std::move(other243.sender);
+  zone = std::move(other243.zone);
+  sequence = other243.sequence;
+  evidence = std::move(other243.evidence);
+  placements = std::move(other243.placements);
+  queries = std::move(other243.queries);
+  __isset = other243.__isset;
+}
+PeerReport& PeerReport::operator=(const PeerReport& other244) {
+  version = other244.version;
+  sender = other244.sender;
+  zone = other244.zone;
+  sequence = other244.sequence;
+  evidence = other244.evidence;
+  placements = other244.placements;
+  queries = other244.queries;
+  __isset = other244.__isset;
+  return *this;
+}
+PeerReport& PeerReport::operator=(PeerReport&& other245) noexcept {
+  version = other245.version;
+  sender = std::move(other245.sender);
+  zone = std::move(other245.zone);
+  sequence = other245.sequence;
+  evidence = std::move(other245.evidence);
+  placements = std::move(other245.placements);
+  queries = std::move(other245.queries);
+  __isset = other245.__isset;
   return *this;
 }
 }} // namespace
--- a/src/gen/protocol_types.h
+++ b/src/gen/protocol_types.h
@@ -211,6 +211,10 @@
 
 class ReportedEvidence;
 
+class ReportedFlow;
+
+class ReportedPlacement;
+
 class PeerReport;
 
 typedef struct _Header__isset {
@@ -2647,9 +2651,106 @@
 
 std::ostream& operator<<(std::ostream& out, const ReportedEvidence& obj);
 
+
+class ReportedFlow {
+ public:
+
+  ReportedFlow(const ReportedFlow&) noexcept;
+  ReportedFlow(ReportedFlow&&) noexcept;
+  ReportedFlow& operator=(const ReportedFlow&) noexcept;
+  ReportedFlow& operator=(ReportedFlow&&) noexcept;
+  ReportedFlow() noexcept {
+  }
+
+  virtual ~ReportedFlow() noexcept;
+  Endpoint client;
+  Endpoint serviceAddress;
+
+  void __set_client(const Endpoint& val);
+
+  void __set_serviceAddress(const Endpoint& val);
+
+  bool operator == (const ReportedFlow & rhs) const
+  {
+    if (!(client == rhs.client))
+      return false;
+    if (!(serviceAddress == rhs.serviceAddress))
+      return false;
+    return true;
+  }
+  bool operator != (const ReportedFlow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReportedFlow & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+};
+
+void swap(ReportedFlow &a, ReportedFlow &b);
+
+std::ostream& operator<<(std::ostream& out, const ReportedFlow& obj);
+
+
+class ReportedPlacement {
+ public:
+
+  ReportedPlacement(const ReportedPlacement&) noexcept;
+  ReportedPlacement(ReportedPlacement&&) noexcept;
+  ReportedPlacement& operator=(const ReportedPlacement&) noexcept;
+  ReportedPlacement& operator=(ReportedPlacement&&) noexcept;
+  ReportedPlacement() noexcept
+                    : upstream(0),
+                      sequence(0) {
+  }
+
+  virtual ~ReportedPlacement() noexcept;
+  ReportedFlow flow;
+  int64_t upstream;
+  int32_t sequence;
+
+  void __set_flow(const ReportedFlow& val);
+
+  void __set_upstream(const int64_t val);
+
+  void __set_sequence(const int32_t val);
+
+  bool operator == (const ReportedPlacement & rhs) const
+  {
+    if (!(flow == rhs.flow))
+      return false;
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    return true;
+  }
+  bool operator != (const ReportedPlacement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReportedPlacement & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+};
+
+void swap(ReportedPlacement &a, ReportedPlacement &b);
+
+std::ostream& operator<<(std::ostream& out, const ReportedPlacement& obj);
+
 typedef struct _PeerReport__isset {
-  _PeerReport__isset() : evidence(false) {}
+  _PeerReport__isset() : evidence(false), placements(false), queries(false) {}
   bool evidence :1;
+  bool placements :1;
+  bool queries :1;
 } _PeerReport__isset;
 
 class PeerReport {
@@ -2671,6 +2772,8 @@
   std::string zone;
   int64_t sequence;
   std::vector<ReportedEvidence>  evidence;
+  std::vector<ReportedPlacement>  placements;
+  std::vector<ReportedFlow>  queries;
 
   _PeerReport__isset __isset;
 
@@ -2684,6 +2787,10 @@
 
   void __set_evidence(const std::vector<ReportedEvidence> & val);
 
+  void __set_placements(const std::vector<ReportedPlacement> & val);
+
+  void __set_queries(const std::vector<ReportedFlow> & val);
+
   bool operator == (const PeerReport & rhs) const
   {
     if (!(version == rhs.version))
@@ -2696,6 +2803,10 @@
       return false;
     if (!(evidence == rhs.evidence))
       return false;
+    if (!(placements == rhs.placements))
+      return false;
+    if (!(queries == rhs.queries))
+      return false;
     return true;
   }
   bool operator != (const PeerReport &rhs) const {
--- a/src/gen/protocol_types.tcc
+++ b/src/gen/protocol_types.tcc
@@ -4060,6 +4060,171 @@
   return xfer;
 }
 
+template <class Protocol_>
+uint32_t ReportedFlow::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_client = false;
+  bool isset_serviceAddress = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->client.read(iprot);
+          isset_client = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->serviceAddress.read(iprot);
+          isset_serviceAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_client)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_serviceAddress)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t ReportedFlow::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReportedFlow");
+
+  xfer += oprot->writeFieldBegin("client", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->client.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceAddress", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->serviceAddress.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t ReportedPlacement::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_flow = false;
+  bool isset_upstream = false;
+  bool isset_sequence = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->flow.read(iprot);
+          isset_flow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->upstream);
+          isset_upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sequence);
+          isset_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_flow)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_upstream)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sequence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t ReportedPlacement::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReportedPlacement");
+
+  xfer += oprot->writeFieldBegin("flow", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->flow.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 template <class Protocol_>
 uint32_t PeerReport::read(Protocol_* iprot) {
 
@@ -4122,14 +4287,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size216;
-            ::apache::thrift::protocol::TType _etype219;
-            xfer += iprot->readListBegin(_etype219, _size216);
-            this->evidence.resize(_size216);
-            uint32_t _i220;
-            for (_i220 = 0; _i220 < _size216; ++_i220)
+            uint32_t _size224;
+            ::apache::thrift::protocol::TType _etype227;
+            xfer += iprot->readListBegin(_etype227, _size224);
+            this->evidence.resize(_size224);
+            uint32_t _i228;
+            for (_i228 = 0; _i228 < _size224; ++_i228)
             {
-              xfer += this->evidence[_i220].read(iprot);
+              xfer += this->evidence[_i228].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4138,6 +4303,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->placements.clear();
+            uint32_t _size229;
+            ::apache::thrift::protocol::TType _etype232;
+            xfer += iprot->readListBegin(_etype232, _size229);
+            this->placements.resize(_size229);
+            uint32_t _i233;
+            for (_i233 = 0; _i233 < _size229; ++_i233)
+            {
+              xfer += this->placements[_i233].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.placements = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->queries.clear();
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->queries.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
+            {
+              xfer += this->queries[_i238].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.queries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4183,10 +4388,34 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<ReportedEvidence> ::const_iterator _iter221;
-    for (_iter221 = this->evidence.begin(); _iter221 != this->evidence.end(); ++_iter221)
+    std::vector<ReportedEvidence> ::const_iterator _iter239;
+    for (_iter239 = this->evidence.begin(); _iter239 != this->evidence.end(); ++_iter239)
+    {
+      xfer += (*_iter239).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
+    std::vector<ReportedPlacement> ::const_iterator _iter240;
+    for (_iter240 = this->placements.begin(); _iter240 != this->placements.end(); ++_iter240)
+    {
+      xfer += (*_iter240).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queries", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queries.size()));
+    std::vector<ReportedFlow> ::const_iterator _iter241;
+    for (_iter241 = this->queries.begin(); _iter241 != this->queries.end(); ++_iter241)
     {
-      xfer += (*_iter221).write(oprot);
+      xfer += (*_iter241).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
--- a/src/packet.h
+++ b/src/packet.h
@@ -33,9 +33,16 @@
 /// 16 bits depend on the upstream only, the low 16 bits on flow and upstream.
 using FlowTag = TypedId<struct FlowTagType, uint32_t>;
 
-/// The tag of \p Flow if \p Upstream serves it; never 0.
+/// The tag of an open flow that \p Upstream serves; never 0.
 FlowTag tagOf(const FlowAddress &Flow, UpstreamId Upstream);
 
+/// The tag of an opening packet with the sequence number \p InitialSequence
+/// that goes to \p Upstream; never 0. It shows that the upstream received the
+/// opening packet. Several upstreams may have received one, so it does not show
+/// which of them serves the flow.
+FlowTag openingTagOf(const FlowAddress &Flow, UpstreamId Upstream,
+                     uint32_t InitialSequence);
+
 /// The high 16 bits of a tag: a hash of the upstream's id, which all tags of an
 /// upstream share.
 uint16_t tagGroupOf(UpstreamId Upstream);
--- a/src/peer_report.h
+++ b/src/peer_report.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "flow_placement_table.h"
 #include "types.h"
 
 namespace indigopoint {
@@ -29,6 +30,11 @@
   /// Rises with each report of a sender's process.
   uint64_t Sequence = 0;
   std::vector<UpstreamEvidence> Evidence;
+  /// Where flows are whose opening packet may have reached several upstreams,
+  /// and answers to queries.
+  std::vector<FlowPlacement> Placements = {};
+  /// Flows whose upstream the sender does not know.
+  std::vector<FlowAddress> Queries = {};
   bool operator==(const PeerReport &) const = default;
 };
 
--- a/src/peer_report_codec.cpp
+++ b/src/peer_report_codec.cpp
@@ -25,7 +25,8 @@
 
 // The header of a list of up to 127 entries takes at most two bytes. An empty
 // list is counted with one.
-constexpr size_t ExtraListBytes = 1;
+constexpr size_t Lists = 3;
+constexpr size_t ExtraListBytes = Lists;
 
 // Evidence is used for 2 s. A much higher age is an error of the sender.
 constexpr Duration MaxAge = std::chrono::seconds(60);
@@ -46,6 +47,43 @@
           Evidence.startedAtMs, Duration(Evidence.age), Evidence.hasStopped};
 }
 
+wire::Endpoint toWire(const Endpoint &Address) {
+  wire::Endpoint Out;
+  Out.address = static_cast<int32_t>(Address.Address);
+  Out.port = static_cast<int16_t>(Address.Port);
+  return Out;
+}
+
+Endpoint fromWire(const wire::Endpoint &Address) {
+  return {static_cast<uint32_t>(Address.address),
+          static_cast<uint16_t>(Address.port)};
+}
+
+wire::ReportedFlow toWire(const FlowAddress &Flow) {
+  wire::ReportedFlow Out;
+  Out.client = toWire(Flow.Client);
+  Out.serviceAddress = toWire(Flow.ServiceAddress);
+  return Out;
+}
+
+FlowAddress fromWire(const wire::ReportedFlow &Flow) {
+  return {fromWire(Flow.client), fromWire(Flow.serviceAddress)};
+}
+
+wire::ReportedPlacement toWire(const FlowPlacement &Placement) {
+  wire::ReportedPlacement Out;
+  Out.flow = toWire(Placement.Flow);
+  Out.upstream = static_cast<int64_t>(Placement.Upstream.value());
+  Out.sequence = static_cast<int32_t>(Placement.Sequence);
+  return Out;
+}
+
+FlowPlacement fromWire(const wire::ReportedPlacement &Placement) {
+  return {fromWire(Placement.flow),
+          UpstreamId(static_cast<uint64_t>(Placement.upstream)),
+          static_cast<uint32_t>(Placement.sequence)};
+}
+
 template <typename Struct> std::string write(const Struct &Value) {
   const auto Buffer = std::make_shared<TMemoryBuffer>();
   CompactProtocol Protocol(Buffer);
@@ -55,8 +93,8 @@
 
 // Adds the entry if it fits into the free bytes. The encoding of a struct does
 // not depend on where it stands in a message.
-void addIfItFits(wire::ReportedEvidence Entry,
-                 std::vector<wire::ReportedEvidence> &Entries, size_t &Free) {
+template <typename Struct>
+void addIfItFits(Struct Entry, std::vector<Struct> &Entries, size_t &Free) {
   if (Entries.size() == MaxEntries)
     return;
   const size_t Size = write(Entry).size();
@@ -87,8 +125,7 @@
 std::string encodePeerReport(const PeerReport &Report) {
   wire::PeerReport Out;
   Out.version = ReportVersion;
-  Out.sender.address = static_cast<int32_t>(Report.Sender.Address);
-  Out.sender.port = static_cast<int16_t>(Report.Sender.Port);
+  Out.sender = toWire(Report.Sender);
   Out.zone = Report.Zone;
   Out.sequence = static_cast<int64_t>(Report.Sequence);
   const size_t Used = write(Out).size() + ExtraListBytes;
@@ -103,6 +140,10 @@
   for (const UpstreamEvidence &Entry : Evidence)
     if (isAgePlausible(Entry.Age) && UpstreamIds.insert(Entry.Upstream).second)
       addIfItFits(toWire(Entry), Out.evidence, Free);
+  for (const FlowPlacement &Entry : Report.Placements)
+    addIfItFits(toWire(Entry), Out.placements, Free);
+  for (const FlowAddress &Entry : Report.Queries)
+    addIfItFits(toWire(Entry), Out.queries, Free);
   return write(Out);
 }
 
@@ -114,8 +155,7 @@
       In.version != ReportVersion)
     return std::nullopt;
   PeerReport Out;
-  Out.Sender = {static_cast<uint32_t>(In.sender.address),
-                static_cast<uint16_t>(In.sender.port)};
+  Out.Sender = fromWire(In.sender);
   Out.Zone = std::move(In.zone);
   Out.Sequence = static_cast<uint64_t>(In.sequence);
   if (Out.Zone != Zone || Out.Sender == Self || Out.Sender.Port == 0)
@@ -127,6 +167,10 @@
         !UpstreamIds.insert(Out.Evidence.back().Upstream).second)
       return std::nullopt;
   }
+  for (const wire::ReportedPlacement &Entry : In.placements)
+    Out.Placements.push_back(fromWire(Entry));
+  for (const wire::ReportedFlow &Entry : In.queries)
+    Out.Queries.push_back(fromWire(Entry));
   return Out;
 }
 
--- a/src/peer_report_codec.h
+++ b/src/peer_report_codec.h
@@ -13,9 +13,10 @@
 /// link, so that the loss of one fragment does not lose a report.
 constexpr size_t MaxReportBytes = 1200;
 
-/// Encodes at most MaxReportBytes: the evidence, newest first, and then the
-/// loads. Leaves out what does not fit, and entries that a receiver would
-/// reject. Returns an empty string if not even the sender and the zone fit.
+/// Encodes at most MaxReportBytes: the evidence, newest first, the placements
+/// and then the queries. Leaves out what does not fit, and entries that a
+/// receiver would reject. Returns an empty string if not even the sender and
+/// the zone fit.
 std::string encodePeerReport(const PeerReport &Report);
 
 /// Decodes a report that the instance with the peer address \p Self received in
--- a/src/peer_reporter.cpp
+++ b/src/peer_reporter.cpp
@@ -27,6 +27,8 @@
 
   bool isEnabled() const { return Opts.ReportAddress.Port != 0; }
   void receive(std::string_view Datagram);
+  void answer(const PeerReport &Question);
+  void send(const PeerReport &Report, const std::vector<Endpoint> &Recipients);
   void sendIfDue();
   void schedule();
 
@@ -63,20 +65,35 @@
   ++Statistics.Received;
   removeOutdatedEvidence(*Report);
   ReportHooks.OnReport(*Report);
+  answer(*Report);
+}
+
+// An instance that asks has a client that waits, so the answer is not delayed.
+void PeerReporter::Impl::answer(const PeerReport &Question) {
+  std::vector<FlowPlacement> Placements;
+  for (const FlowAddress &Flow : Question.Queries)
+    if (const auto Placement = ReportHooks.Placement(Flow))
+      Placements.push_back(*Placement);
+  if (!Placements.empty())
+    send(Scheduler.answer(std::move(Placements)), {Question.Sender});
+}
+
+void PeerReporter::Impl::send(const PeerReport &Report,
+                              const std::vector<Endpoint> &Recipients) {
+  const std::string Bytes = encodePeerReport(Report);
+  if (!Bytes.empty())
+    for (const Endpoint Peer : Recipients) {
+      Socket.nextBuffer() = Bytes;
+      Socket.commit({Peer.Address, Opts.ReportAddress.Port});
+    }
+  Socket.flush();
 }
 
 void PeerReporter::Impl::sendIfDue() {
   TimeSource.refresh();
   TimerExpiry = TimePoint::max();
-  if (const std::optional<PeerReport> Report = Scheduler.takeReport()) {
-    const std::string Bytes = encodePeerReport(*Report);
-    if (!Bytes.empty())
-      for (const Endpoint Peer : ReportHooks.Recipients()) {
-        Socket.nextBuffer() = Bytes;
-        Socket.commit({Peer.Address, Opts.ReportAddress.Port});
-      }
-    Socket.flush();
-  }
+  if (const std::optional<PeerReport> Report = Scheduler.takeReport())
+    send(*Report, ReportHooks.Recipients());
   schedule();
 }
 
@@ -122,6 +139,20 @@
   PImpl->schedule();
 }
 
+void PeerReporter::addPlacement(const FlowPlacement &Placement) {
+  if (!PImpl->isEnabled())
+    return;
+  PImpl->Scheduler.addPlacement(Placement);
+  PImpl->schedule();
+}
+
+void PeerReporter::addQuery(const FlowAddress &Flow) {
+  if (!PImpl->isEnabled())
+    return;
+  PImpl->Scheduler.addQuery(Flow);
+  PImpl->schedule();
+}
+
 PeerReporter::Counters PeerReporter::counters() const {
   Counters Out = PImpl->Statistics;
   Out.Sent = PImpl->Socket.counters().Sent;
--- a/src/peer_reporter.h
+++ b/src/peer_reporter.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,10 @@
     /// Called for each report that is to be used.
     std::function<void(const PeerReport &)> OnReport = [](const PeerReport &) {
     };
+    /// Returns where a flow is, for another instance that asks; nothing if that
+    /// is not known.
+    std::function<std::optional<FlowPlacement>(const FlowAddress &)> Placement =
+        [](const FlowAddress &) { return std::nullopt; };
   };
 
   /// Numbers of datagrams.
@@ -59,6 +64,12 @@
   /// connection check failed.
   void addEvidence(const Upstream &UnresponsiveUpstream, bool HasStopped);
 
+  /// Reports where a flow is.
+  void addPlacement(const FlowPlacement &Placement);
+
+  /// Asks the other instances where a flow is.
+  void addQuery(const FlowAddress &Flow);
+
   Counters counters() const;
 
 private:
--- a/src/protocol.thrift
+++ b/src/protocol.thrift
@@ -400,6 +400,18 @@
   4: bool hasStopped = false
 }
 
+struct ReportedFlow {
+  1: required Endpoint client
+  2: required Endpoint serviceAddress
+}
+
+struct ReportedPlacement {
+  1: required ReportedFlow flow
+  2: required i64 upstream
+  /* A sequence number that the client of the flow has used. */
+  3: required i32 sequence
+}
+
 struct PeerReport {
   1: required i32 version
   /* Peer address of the sender. */
@@ -408,4 +420,6 @@
   4: required i64 sequence
   5: list<ReportedEvidence> evidence
   /* 6 was used by an earlier version. */
+  7: list<ReportedPlacement> placements
+  8: list<ReportedFlow> queries
 }
--- a/src/report_scheduler.cpp
+++ b/src/report_scheduler.cpp
@@ -13,6 +13,15 @@
 // evidence waits for the next report.
 constexpr size_t MaxEvidencePerReport = 20;
 
+// About 40 and 25 bytes each; they fit beside the evidence.
+constexpr size_t MaxPlacementsPerReport = 10;
+constexpr size_t MaxQueriesPerReport = 4;
+
+// What can be sent within Lifetime. More is not sent; clients then wait for
+// their time limit.
+constexpr size_t MaxPendingPlacements = 200;
+constexpr size_t MaxPendingQueries = 80;
+
 // What can be sent within Lifetime.
 constexpr size_t MaxPendingEvidence = 400;
 
@@ -33,6 +42,16 @@
 // milliseconds since then.
 constexpr unsigned EraShift = 32;
 
+// Removes and returns the first entries.
+template <typename Entry>
+std::vector<Entry> popFirst(std::deque<Entry> &Entries, size_t Max) {
+  const auto End =
+      Entries.begin() + static_cast<ptrdiff_t>(std::min(Max, Entries.size()));
+  std::vector<Entry> Out(Entries.begin(), End);
+  Entries.erase(Entries.begin(), End);
+  return Out;
+}
+
 uint64_t eraOf(uint64_t Sequence) { return Sequence >> EraShift; }
 
 Duration timeOf(uint64_t Sequence) {
@@ -74,23 +93,54 @@
 }
 
 TimePoint ReportScheduler::nextReportAt() const {
-  return Pending.empty() ? TimePoint::max() : NextEvidenceAt;
+  return hasPending() ? NextEvidenceAt : TimePoint::max();
 }
 
 std::optional<PeerReport> ReportScheduler::takeReport() {
   const TimePoint Now = TimeSource.now();
   dropOutdatedEvidence();
-  if (Pending.empty() || Now < NextEvidenceAt)
+  if (!hasPending() || Now < NextEvidenceAt)
     return std::nullopt;
   NextEvidenceAt = Now + MinEvidenceInterval;
-  PeerReport Report;
+  PeerReport Report = makeReport();
   Report.Evidence = extractEvidence();
+  Report.Placements = popFirst(PendingPlacements, MaxPlacementsPerReport);
+  Report.Queries = popFirst(PendingQueries, MaxQueriesPerReport);
+  return Report;
+}
+
+bool ReportScheduler::hasPending() const {
+  return !Pending.empty() || !PendingPlacements.empty() ||
+         !PendingQueries.empty();
+}
+
+PeerReport ReportScheduler::makeReport() {
+  PeerReport Report;
   Report.Sender = Opts.Self;
   Report.Zone = Opts.Zone;
   Report.Sequence = nextSequence();
   return Report;
 }
 
+void ReportScheduler::addPlacement(const FlowPlacement &Placement) {
+  if (PendingPlacements.size() < MaxPendingPlacements)
+    PendingPlacements.push_back(Placement);
+}
+
+// A client that sends several packets at once needs one answer.
+void ReportScheduler::addQuery(const FlowAddress &Flow) {
+  if (PendingQueries.size() < MaxPendingQueries &&
+      std::find(PendingQueries.begin(), PendingQueries.end(), Flow) ==
+          PendingQueries.end())
+    PendingQueries.push_back(Flow);
+}
+
+PeerReport ReportScheduler::answer(std::vector<FlowPlacement> Placements) {
+  PeerReport Report = makeReport();
+  Report.Placements = std::move(Placements);
+  return Report;
+}
+
 std::vector<UpstreamEvidence> ReportScheduler::extractEvidence() {
   std::vector<UpstreamEvidence> Out;
   while (!Pending.empty() && Out.size() < MaxEvidencePerReport) {
--- a/src/report_scheduler.h
+++ b/src/report_scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,6 +33,15 @@
   /// Has the evidence reported as soon as the limit of the rate permits.
   void addEvidence(const UpstreamEvidence &Evidence);
 
+  /// Has the placement of a flow reported with the next report.
+  void addPlacement(const FlowPlacement &Placement);
+
+  /// Has the other instances asked for the upstream of a flow.
+  void addQuery(const FlowAddress &Flow);
+
+  /// Returns an immediate answer to a query of another instance.
+  PeerReport answer(std::vector<FlowPlacement> Placements);
+
   /// Returns when takeReport is to be called next; the maximum if there is
   /// nothing to report.
   TimePoint nextReportAt() const;
@@ -65,6 +75,8 @@
 
   void dropOutdatedEvidence();
   std::vector<UpstreamEvidence> extractEvidence();
+  bool hasPending() const;
+  PeerReport makeReport();
   uint64_t nextSequence();
   /// Returns by how much longer than the fastest recent reports of its sender
   /// this one was on its way.
@@ -76,6 +88,8 @@
   TimePoint StartedAt;
   uint64_t Sequence = 0;
   std::vector<PendingEvidence> Pending;
+  std::deque<FlowPlacement> PendingPlacements;
+  std::deque<FlowAddress> PendingQueries;
   TimePoint NextEvidenceAt;
   std::map<Endpoint, Sender> Senders;
 };
--- a/src/steered_flow_table.h
+++ b/src/steered_flow_table.h
@@ -27,6 +27,13 @@
   /// Whether the flow is counted in its upstream's pending openings. Unlike
   /// Phase::Opening, this ends when OpenTimeout has passed.
   bool IsCountedAsPending = false;
+  /// Whether the opening packet may have reached several upstreams.
+  bool IsContested = false;
+  /// Whether this instance saw no opening packet, so that InitialSequence may
+  /// be too high.
+  bool IsAdopted = false;
+  /// Whether a packet named another upstream after the flow was open.
+  bool HasTagConflict = false;
   /// Whether the client has retransmitted data that is not acknowledged yet.
   bool HasRetransmitted = false;
   /// Sequence number of the opening packet. A different one in a later opening
--- a/src/steering_decision.cpp
+++ b/src/steering_decision.cpp
@@ -9,10 +9,10 @@
 constexpr std::array<std::string_view, 3> ActionNames = {"forward", "reset",
                                                          "drop"};
 constexpr std::array<std::string_view, SteeringReasonCount> ReasonNames = {
-    "new-flow",      "repeated-opening", "moved-opening", "known-flow",
-    "tagged-flow",   "no-configuration", "paused",        "no-route",
-    "route-removed", "no-upstream",      "unknown-tag",   "address-reused",
-    "upstream-gone", "upstream-dead"};
+    "new-flow",    "repeated-opening", "moved-opening", "known-flow",
+    "tagged-flow", "opened-elsewhere", "reported-flow", "no-configuration",
+    "paused",      "no-route",         "route-removed", "no-upstream",
+    "unknown-tag", "address-reused",   "upstream-gone", "upstream-dead"};
 
 } // namespace
 
--- a/src/steering_decision.h
+++ b/src/steering_decision.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "packet.h"
+
 namespace indigopoint {
 
 struct Upstream;
@@ -26,6 +28,11 @@
   /// The flow is not in the flow table, usually because its earlier packets
   /// went through another instance; the packet's tag identifies the upstream.
   TaggedFlow,
+  /// The flow is not in the flow table; the packet is the first one after the
+  /// opening and has the tag of an opening packet.
+  OpenedElsewhere,
+  /// Another instance reported the upstream of the flow.
+  ReportedFlow,
   /// No configuration has been applied yet.
   NoConfiguration,
   /// The instance was paused, and what it knows of the store may be out of
@@ -38,7 +45,9 @@
   RouteRemoved,
   /// No upstream is available for a new flow.
   NoUpstream,
-  /// The tag matches no known upstream.
+  /// The tag identifies no known upstream that serves the flow. It may be that
+  /// of an opening packet although the client has sent more since, and so come
+  /// from the late answer of an upstream that does not serve the flow.
   UnknownTag,
   /// The upstream is unregistered and its address belongs to another one now.
   AddressReused,
@@ -51,7 +60,7 @@
 };
 
 constexpr size_t SteeringActionCount = 3;
-constexpr size_t SteeringReasonCount = 14;
+constexpr size_t SteeringReasonCount = 16;
 
 std::string_view nameOf(SteeringAction Value);
 std::string_view nameOf(SteeringReason Value);
@@ -62,6 +71,11 @@
   /// The upstream that the packet is forwarded to, or whose state caused the
   /// reset or drop; null if there is none.
   const Upstream *Target = nullptr;
+  /// The tag to write into a forwarded packet.
+  FlowTag Tag = {};
+  /// Whether a dropped packet may be steered again once more is known of its
+  /// flow.
+  bool MayHold = false;
 };
 
 } // namespace indigopoint
--- a/src/steering_log.cpp
+++ b/src/steering_log.cpp
@@ -13,7 +13,9 @@
     return LogEvent::FlowOpened;
   if (Decision.Reason == SteeringReason::MovedOpening)
     return LogEvent::FlowMoved;
-  if (Decision.Reason == SteeringReason::TaggedFlow)
+  if (Decision.Reason == SteeringReason::TaggedFlow ||
+      Decision.Reason == SteeringReason::OpenedElsewhere ||
+      Decision.Reason == SteeringReason::ReportedFlow)
     return LogEvent::FlowAdopted;
   return std::nullopt;
 }
@@ -34,4 +36,35 @@
   return LogFields;
 }
 
+EventLog::Fields describeOpenTimeout(const FlowAddress &Flow,
+                                     const Upstream &Target) {
+  const UpstreamRegistration &Registration = Target.Registration;
+  return {{"flow", toString(Flow)},
+          {"upstream", toHex(Registration.Id)},
+          {"service", Registration.Service},
+          {"zone", Registration.Zone},
+          {"state", nameOf(Target.State)}};
+}
+
+EventLog::Fields describeTagConflict(const FlowAddress &Flow,
+                                     const Upstream &Target,
+                                     const Upstream &Named) {
+  return {{"flow", toString(Flow)},
+          {"upstream", toHex(Target.Registration.Id)},
+          {"namedUpstream", toHex(Named.Registration.Id)}};
+}
+
+EventLog::Fields describeUnresponsive(const Upstream &Target,
+                                      const char *EvidenceSource,
+                                      TimePoint Now) {
+  const Duration OldestAge =
+      Target.Exchanges.oldestAge(Now).value_or(Duration());
+  return {{"upstream", toHex(Target.Registration.Id)},
+          {"service", Target.Registration.Service},
+          {"zone", Target.Registration.Zone},
+          {"source", EvidenceSource},
+          {"openExchanges", Target.Exchanges.count()},
+          {"oldestMs", millisecondsOf(OldestAge)}};
+}
+
 } // namespace indigopoint
--- a/src/steering_log.h
+++ b/src/steering_log.h
@@ -18,4 +18,20 @@
 EventLog::Fields describe(const PacketHeader &Packet,
                           const SteeringDecision &Decision);
 
+/// The fields of LogEvent::UpstreamSilent.
+EventLog::Fields describeOpenTimeout(const FlowAddress &Flow,
+                                     const Upstream &Target);
+
+/// The fields of LogEvent::FlowTagConflict: the flow's upstream, and the one
+/// that a packet named.
+EventLog::Fields describeTagConflict(const FlowAddress &Flow,
+                                     const Upstream &Target,
+                                     const Upstream &Named);
+
+/// The fields of LogEvent::UpstreamUnresponsive. \p EvidenceSource tells who
+/// found the evidence.
+EventLog::Fields describeUnresponsive(const Upstream &Target,
+                                      const char *EvidenceSource,
+                                      TimePoint Now);
+
 } // namespace indigopoint
--- a/src/steering_metrics.h
+++ b/src/steering_metrics.h
@@ -39,6 +39,12 @@
     return Services;
   }
 
+  /// Open flows of which a packet named another upstream than the flow's.
+  uint64_t TagConflicts = 0;
+
+  /// Packets that were held because their upstream was unknown, and sent later.
+  uint64_t ReleasedPackets = 0;
+
 private:
   std::array<std::array<uint64_t, SteeringReasonCount>, SteeringActionCount>
       Decisions{};
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -108,6 +108,20 @@
 }
 
 Upstream *UpstreamRegistry::findByTag(const FlowAddress &Flow, FlowTag Tag) {
+  return findInTagGroup(Tag,
+                        [&Flow](UpstreamId Id) { return tagOf(Flow, Id); });
+}
+
+Upstream *UpstreamRegistry::findByOpeningTag(const FlowAddress &Flow,
+                                             FlowTag Tag,
+                                             uint32_t InitialSequence) {
+  return findInTagGroup(Tag, [&Flow, InitialSequence](UpstreamId Id) {
+    return openingTagOf(Flow, Id, InitialSequence);
+  });
+}
+
+Upstream *UpstreamRegistry::findInTagGroup(
+    FlowTag Tag, const std::function<FlowTag(UpstreamId)> &TagOfUpstream) {
   const auto Group = TagGroups.find(tagGroupOf(Tag));
   if (Group == TagGroups.end())
     return nullptr;
@@ -117,7 +131,7 @@
     // choose the same upstream.
     const bool IsEarlier =
         Match == nullptr || Candidate->CreatedRevision < Match->CreatedRevision;
-    if (IsEarlier && tagOf(Flow, Candidate->Registration.Id) == Tag)
+    if (IsEarlier && TagOfUpstream(Candidate->Registration.Id) == Tag)
       Match = Candidate;
   }
   return Match;
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -113,6 +113,10 @@
   /// first.
   Upstream *findByTag(const FlowAddress &Flow, FlowTag Tag);
 
+  /// The same for the tag of an opening packet (see openingTagOf).
+  Upstream *findByOpeningTag(const FlowAddress &Flow, FlowTag Tag,
+                             uint32_t InitialSequence);
+
   /// The registered upstream other than \p Excluded with the most recent
   /// answer; null if none has answered.
   const Upstream *mostRecentlyAnswering(const Upstream &Excluded) const;
@@ -177,6 +181,9 @@
 private:
   UnansweredExchanges::Counts
   countAvailable(const std::function<bool(const Upstream &)> &IsCounted) const;
+  Upstream *
+  findInTagGroup(FlowTag Tag,
+                 const std::function<FlowTag(UpstreamId)> &TagOfUpstream);
   void addToIndexes(Upstream &Target);
   void removeFromIndexes(Upstream &Target);
 
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -6,6 +6,7 @@
 
 #include "http_server.h"
 #include "loop_test_support.h"
+#include "peer_report_codec.h"
 #include "platform/packet_codec.h"
 #include "platform/protocol.h"
 #include "status_report.h"
@@ -38,6 +39,8 @@
     Settings.ReadyAddress = unusedAddress();
     Settings.Store = Store.address();
     Settings.MetricsAddress = unusedAddress();
+    Settings.PeerAddress = unusedAddress();
+    Settings.ReportAddress = unusedAddress();
     Settings.StopLimit = 3s;
     Instance = std::make_unique<Forwarder>(Loop, Settings, forwarderProtocol(),
                                            [this] {
@@ -58,17 +61,50 @@
   // the service "chat", and of the registration of an upstream of "chat".
   std::string snapshot() const;
 
-  void sendOpening() {
+  // Sends an opening packet of the client 100.64.0.7:40001 with the sequence
+  // number 0.
+  void sendOpening() { sendPacket(SynFlag, 0, std::string(4, '\0')); }
+
+  // Sends a packet with one byte of data. The tag has four bytes.
+  void sendData(uint8_t Sequence, const std::string &Tag) {
+    sendPacket(AckFlag, Sequence, Tag, "x");
+  }
+
+  void sendPacket(char Flags, uint8_t Sequence, const std::string &Tag,
+                  const std::string &Data = "") {
     std::string Packet(HeaderBytes, '\0');
     const std::string Flow("\xc6\x12\x00\x01\x01\xbb\x64\x40\x00\x07\x9c\x41",
                            12);
+    Packet[5] = static_cast<char>(Data.size());
     Packet.replace(6, 12, Flow);
-    Packet[30] = 32;
-    Client.nextBuffer() = Packet;
+    Packet[21] = static_cast<char>(Sequence);
+    Packet.replace(TagOffset, 4, Tag);
+    Packet[30] = Flags;
+    Client.nextBuffer() = Packet + Data;
     Client.commit(Settings.DataAddress);
     Client.flush();
   }
 
+  // The sequence number of a packet that the upstream received.
+  static int sequenceOf(const std::string &Datagram) {
+    return static_cast<uint8_t>(Datagram.at(8 + 21));
+  }
+
+  // Opens a flow. Returns the tag of the opening packet.
+  std::string open() {
+    answerSnapshot();
+    runFor(Loop, 50ms);
+    sendOpening();
+    EXPECT_TRUE(runUntil(Loop, [this] { return !Received.empty(); }));
+    const std::string Tag = Received.at(0).substr(8 + TagOffset, 4);
+    Received.clear();
+    return Tag;
+  }
+
+  static constexpr char SynFlag = 32;
+  static constexpr char AckFlag = 1;
+  static constexpr size_t TagOffset = 26;
+
   HttpResult get(Endpoint To, const std::string &Path) {
     HttpCall Call;
     Call.To = To;
@@ -140,6 +176,51 @@
   EXPECT_EQ(Received[0].size(), 8 + HeaderBytes);
 }
 
+// Guards against losing a packet that has overtaken the first data of its flow;
+// the client would repeat it only after 200 ms.
+TEST_F(ForwarderTest, PacketThatOvertookTheFirstDataFollowsIt) {
+  const std::string Tag = open();
+  sendData(2, Tag);
+  runFor(Loop, 30ms);
+  EXPECT_TRUE(Received.empty());
+  sendData(1, Tag);
+  ASSERT_TRUE(runUntil(Loop, [this] { return Received.size() == 2; }));
+  EXPECT_EQ(sequenceOf(Received[0]), 1);
+  EXPECT_EQ(sequenceOf(Received[1]), 2);
+  EXPECT_NE(Received[1].substr(8 + TagOffset, 4), Tag)
+      << "the upstream must not repeat the tag of the opening packet";
+}
+
+// Guards against losing a request of which another instance knows the upstream.
+TEST_F(ForwarderTest, ReportedUpstreamReleasesAHeldPacket) {
+  const std::string Tag = open();
+  sendData(9, Tag);
+  runFor(Loop, 30ms);
+  ASSERT_TRUE(Received.empty());
+  PeerReport Report{{0x7f000009, 8166}, "a", 1, {}};
+  Report.Placements = {
+      {{{0x64400007, 40001}, {0xc6120001, 443}}, UpstreamId(0x7f3a91c2), 0}};
+  Client.nextBuffer() = encodePeerReport(Report);
+  Client.commit(Settings.ReportAddress);
+  Client.flush();
+  ASSERT_TRUE(runUntil(Loop, [this] { return !Received.empty(); }));
+  EXPECT_EQ(sequenceOf(Received[0]), 9);
+  EXPECT_NE(get(Settings.MetricsAddress, "/metrics")
+                .Body.find("indigopoint_packets_released_total 1"),
+            std::string::npos);
+}
+
+// Guards against packets that are held without end.
+TEST_F(ForwarderTest, HeldPacketIsDroppedInTheEnd) {
+  const std::string Tag = open();
+  sendData(9, Tag);
+  runFor(Loop, 600ms);
+  sendData(1, Tag);
+  ASSERT_TRUE(runUntil(Loop, [this] { return !Received.empty(); }));
+  runFor(Loop, 50ms);
+  EXPECT_EQ(Received.size(), 1U);
+}
+
 TEST_F(ForwarderTest, ReportsMetricsAndStatus) {
   answerSnapshot();
   runFor(Loop, 50ms);
--- a/tests/peer_report_codec_test.cpp
+++ b/tests/peer_report_codec_test.cpp
@@ -26,8 +26,15 @@
   return decodePeerReport(Bytes, Receiver, Zone);
 }
 
+FlowAddress flowOf(uint32_t Number) {
+  return {{0xfffffff0 + Number, 65'535}, {0xc6120001, 40'000}};
+}
+
 TEST(PeerReportCodecTest, KeepsAllFields) {
-  const PeerReport Report = reportOf(3);
+  PeerReport Report = reportOf(3);
+  Report.Placements = {{flowOf(1), UpstreamId(~uint64_t{0}), 0xffffffff},
+                       {flowOf(2), UpstreamId(2), 0}};
+  Report.Queries = {flowOf(3), flowOf(4)};
   EXPECT_EQ(decode(encodePeerReport(Report)), Report);
   EXPECT_EQ(decode(encodePeerReport(reportOf(0))), reportOf(0));
 }
@@ -49,6 +56,23 @@
   }
 }
 
+// Guards against datagrams that are fragmented or not sent at all because of
+// their flows.
+TEST(PeerReportCodecTest, LeavesOutFlowsThatDoNotFit) {
+  PeerReport Report = reportOf(20);
+  for (uint32_t Number = 0; Number < 200; ++Number) {
+    Report.Placements.push_back(
+        {flowOf(Number), UpstreamId(~uint64_t{Number}), Number});
+    Report.Queries.push_back(flowOf(Number));
+  }
+  const std::string Bytes = encodePeerReport(Report);
+  ASSERT_LE(Bytes.size(), MaxReportBytes);
+  const auto Decoded = decode(Bytes);
+  ASSERT_TRUE(Decoded);
+  EXPECT_EQ(Decoded->Evidence.size(), 20U);
+  EXPECT_GE(Decoded->Placements.size(), 10U);
+}
+
 TEST(PeerReportCodecTest, RejectsForeignReports) {
   const std::string Bytes = encodePeerReport(reportOf(1));
   EXPECT_TRUE(decodePeerReport(Bytes, Receiver, Zone));
--- a/tests/peer_reporter_test.cpp
+++ b/tests/peer_reporter_test.cpp
@@ -38,7 +38,9 @@
                      {[] {
                         return std::vector{Endpoint{SecondIp, PeerPort}};
                       },
-                      [](const PeerReport &) {}}};
+                      [this](const PeerReport &Report) {
+                        ReceivedByFirst.push_back(Report);
+                      }}};
   PeerReporter Second{
       Loop,
       optionsOf(SecondIp),
@@ -46,9 +48,39 @@
       {[] {
          return std::vector{Endpoint{FirstIp, PeerPort}};
        },
-       [this](const PeerReport &Report) { Received.push_back(Report); }}};
+       [this](const PeerReport &Report) { Received.push_back(Report); },
+       [this](const FlowAddress &) { return KnownPlacement; }}};
+  std::optional<FlowPlacement> KnownPlacement;
+  std::vector<PeerReport> ReceivedByFirst;
 };
 
+const FlowPlacement Placement{
+    {{0x64400001, 30007}, {0xc6120001, 443}}, UpstreamId(11), 1000};
+
+TEST_F(PeerReporterTest, DeliversPlacements) {
+  ASSERT_EQ(First.open(), "");
+  ASSERT_EQ(Second.open(), "");
+  First.addPlacement(Placement);
+  ASSERT_TRUE(runUntil(Loop, [&] { return !Received.empty(); }));
+  EXPECT_EQ(Received[0].Placements, std::vector{Placement});
+}
+
+// Guards against a flow whose upstream one instance knows and another one does
+// not find out.
+TEST_F(PeerReporterTest, QueryIsAnsweredByInstancesThatKnowTheFlow) {
+  ASSERT_EQ(First.open(), "");
+  ASSERT_EQ(Second.open(), "");
+  First.addQuery(Placement.Flow);
+  ASSERT_TRUE(runUntil(Loop, [&] { return !Received.empty(); }));
+  EXPECT_EQ(Received[0].Queries, std::vector{Placement.Flow});
+  runFor(Loop, std::chrono::milliseconds(150));
+  EXPECT_TRUE(ReceivedByFirst.empty());
+  KnownPlacement = Placement;
+  First.addQuery(Placement.Flow);
+  ASSERT_TRUE(runUntil(Loop, [&] { return !ReceivedByFirst.empty(); }));
+  EXPECT_EQ(ReceivedByFirst[0].Placements, std::vector{Placement});
+}
+
 TEST_F(PeerReporterTest, DeliversEvidenceAtOnce) {
   ASSERT_EQ(First.open(), "");
   ASSERT_EQ(Second.open(), "");
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -80,6 +80,15 @@
     return Packet;
   }
 
+  // The first data packet of a client to which the upstream repeated the tag of
+  // the opening packet.
+  static PacketHeader firstData(uint16_t Port, uint64_t Upstream) {
+    PacketHeader Packet = data(Port, 0);
+    Packet.Tag =
+        openingTagOf(Packet.Flow, UpstreamId(Upstream), Packet.Sequence - 1);
+    return Packet;
+  }
+
   static uint64_t idOf(const SteeringDecision &Decision) {
     return Decision.Target == nullptr
                ? 0
--- a/tests/steering_log_test.cpp
+++ b/tests/steering_log_test.cpp
@@ -96,6 +96,11 @@
       return steer(data(1, open(1), 600));
     case SteeringReason::TaggedFlow:
       return steer(data(1, 11));
+    case SteeringReason::OpenedElsewhere:
+      return steer(firstData(1, 11));
+    case SteeringReason::ReportedFlow:
+      Steering.recordPlacement({data(1, 0).Flow, UpstreamId(11), 1000});
+      return steer(firstData(1, 12));
     case SteeringReason::NoConfiguration:
       return runNoConfigurationCase();
     case SteeringReason::Paused:
