Keep the configuration in force while lost versions are written again

Cause: a lower version written after a restoration was applied after 1 s without another write. Evidence: configuration-applied with versionBefore=17 exactly 1 s after the write.

Change: the content of versions that were in force is remembered as a hash. A lower version with known content is a lost one and stays unused; other content is a new decision and is applied after 1 s as before.

--- a/src/restoration_review.cpp
+++ b/src/restoration_review.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <xxhash.h>
+
 namespace indigopoint {
 
 namespace {
@@ -15,6 +17,13 @@
 // time; otherwise instances would go back to it for a moment.
 constexpr Duration RewriteTime = std::chrono::seconds(1);
 
+// A copy is some seconds old, so it lacks few versions.
+constexpr size_t MaxKnownConfigurations = 256;
+
+uint64_t hashOf(const std::string &Content) {
+  return XXH3_64bits(Content.data(), Content.size());
+}
+
 } // namespace
 
 void RestorationReview::begin(TimePoint Now) {
@@ -89,6 +98,19 @@
   return Out;
 }
 
+void RestorationReview::recordConfiguration(ConfigVersion Version,
+                                            const std::string &Content) {
+  KnownConfigurations[Version] = hashOf(Content);
+  if (KnownConfigurations.size() > MaxKnownConfigurations)
+    KnownConfigurations.erase(KnownConfigurations.begin());
+}
+
+bool RestorationReview::isKnownConfiguration(ConfigVersion Version,
+                                             const std::string &Content) const {
+  const auto It = KnownConfigurations.find(Version);
+  return It != KnownConfigurations.end() && It->second == hashOf(Content);
+}
+
 void RestorationReview::recordRestoredConfiguration(uint64_t Revision) {
   RestoredConfigurationRevision = Revision;
 }
--- a/src/restoration_review.h
+++ b/src/restoration_review.h
@@ -72,6 +72,15 @@
   /// Returns and forgets the held registrations that outlasted their time.
   std::vector<HeldRegistration> takeConfirmed(TimePoint Now);
 
+  /// Records the content of a configuration that was in force, as the store has
+  /// it.
+  void recordConfiguration(ConfigVersion Version, const std::string &Content);
+
+  /// Whether this instance knows the version with the same content. The
+  /// operator then writes a lost version again, and not a new one.
+  bool isKnownConfiguration(ConfigVersion Version,
+                            const std::string &Content) const;
+
   /// Records the revision of the configuration in the restored store.
   void recordRestoredConfiguration(uint64_t Revision);
 
@@ -96,6 +105,8 @@
   std::set<UpstreamId> Missing;
   std::set<std::string> MissingEvacuations;
   uint64_t RestoredConfigurationRevision = 0;
+  /// Hashes of the content of the latest versions.
+  std::map<ConfigVersion, uint64_t> KnownConfigurations;
   std::optional<RouteConfiguration> DeferredConfiguration;
   TimePoint DeferredUntil{};
 };
--- a/src/store_update_applier.cpp
+++ b/src/store_update_applier.cpp
@@ -131,9 +131,14 @@
   if (IsRewritten)
     Review.discardDeferredConfiguration();
   if (IsRewritten && Config.Version < Routes.version()) {
-    Review.deferConfiguration(Config, TimeSource.now());
+    // The operator writes the lost versions again, of which this is an earlier
+    // one. The version in force follows after any time.
+    if (!Review.isKnownConfiguration(Config.Version, Item.Value))
+      Review.deferConfiguration(Config, TimeSource.now());
     return;
   }
+  if (Config.Version >= Routes.version())
+    Review.recordConfiguration(Config.Version, Item.Value);
   const bool IsVersionReused =
       Config.Version == Routes.version() && Routes.isLoaded() &&
       (IsRewritten || IsFromRestoredStore) && !Routes.hasSameContent(Config);
--- a/tests/store_restoration_test.cpp
+++ b/tests/store_restoration_test.cpp
@@ -103,6 +103,43 @@
             std::string::npos);
 }
 
+// Guards against instances that go back to a lost version because the operator
+// takes longer than a second to write the next one again.
+TEST_F(StoreRestorationTest, LostVersionThatIsWrittenAgainNeverReverts) {
+  for (const Duration Pause : {900ms, 2000ms, 60'000ms}) {
+    Store.put("config", "12 chat");
+    Instance.follow(Store);
+    Store.put("config", "17 photos");
+    restore();
+    Store.put("config", "12 chat");
+    Instance.follow(Store);
+    for (Duration Passed{}; Passed < Pause; Passed += 100ms) {
+      advance(100ms);
+      ASSERT_EQ(Instance.configuration(), 17U) << millisecondsOf(Passed);
+    }
+    Store.put("config", "17 photos");
+    Instance.follow(Store);
+    advance(2s);
+    EXPECT_EQ(Instance.configuration(), 17U);
+    EXPECT_EQ(Instance.service(), "photos");
+  }
+  EXPECT_EQ(Instance.log().find(R"("version":12,"versionBefore":17)"),
+            Instance.log().npos);
+}
+
+// A lost version with other content is a decision of the operator.
+TEST_F(StoreRestorationTest, LostVersionWithOtherContentIsApplied) {
+  Store.put("config", "12 chat");
+  Instance.follow(Store);
+  Store.put("config", "17 photos");
+  restore();
+  Store.put("config", "12 maps");
+  Instance.follow(Store);
+  advance(1100ms);
+  EXPECT_EQ(Instance.configuration(), 12U);
+  EXPECT_EQ(Instance.service(), "maps");
+}
+
 // Guards against upstreams that lose all new flows until they register again.
 TEST_F(StoreRestorationTest, LostRegistrationStaysUntilItIsWrittenAgain) {
   Store.put(upstreamKey(4), "ready 1000");
