--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -64,6 +64,7 @@
     ResultHook OnResult;
     HttpResult Result;
     bool IsFinished = false;
+    bool IsTooLarge = false;
   };
 
   explicit Impl(EventLoop &Loop) : Loop(Loop) {}
@@ -74,7 +75,15 @@
 
   static void onResponse(evhttp_request *Response, void *Context) {
     auto &Call = *static_cast<PendingCall *>(Context);
-    Call.Owner->finish(Call, resultOf(Response));
+    HttpResult Result = resultOf(Response);
+    Result.IsTooLarge = Call.IsTooLarge;
+    Call.Owner->finish(Call, std::move(Result));
+  }
+
+  // Called before onResponse.
+  static void onError(evhttp_request_error Error, void *Context) {
+    static_cast<PendingCall *>(Context)->IsTooLarge =
+        Error == EVREQ_HTTP_DATA_TOO_LONG;
   }
 
   EventLoop &Loop;
@@ -95,6 +104,7 @@
     finish(Call, {});
     return;
   }
+  evhttp_request_set_error_cb(Request, onError);
   evhttp_connection_set_max_body_size(Call.Connection, MaxBodyBytes);
   if (Parameters.IdleTimeout > Duration()) {
     const timeval IdleTimeout = toTimeval(Parameters.IdleTimeout);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -32,6 +32,9 @@
   std::string Body;
   /// Keyed by lower-case name.
   std::map<std::string, std::string> Headers;
+  /// Whether the call failed because the response was larger than the client
+  /// accepts. The same call would fail again.
+  bool IsTooLarge = false;
 };
 
 /// Makes HTTP calls on an event loop. Hooks are called from the loop, never
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -67,6 +67,11 @@
 
 StoreResult toStoreResult(const HttpResult &Answer) {
   StoreResult Out;
+  if (Answer.IsTooLarge) {
+    Out.ResultStatus = StoreResult::Status::TooLarge;
+    Out.Problem = "the answer is too large";
+    return Out;
+  }
   if (Answer.Status == 410) {
     Out.ResultStatus = StoreResult::Status::HistoryLost;
     Out.Position.Era = eraOf(Answer);
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> StatusNames = {
-    "answered", "history-lost", "refused", "failed"};
+constexpr std::array<std::string_view, 5> StatusNames = {
+    "answered", "history-lost", "refused", "failed", "too-large"};
 
 // Timeout of a call that the store should answer immediately.
 constexpr Duration CallTimeout = std::chrono::milliseconds(900);
@@ -81,6 +81,14 @@
     return onPeerAnswer(Result);
   PeerCallsInRow = 0;
   const bool IsAnswered = Result.ResultStatus == StoreResult::Status::Answered;
+  // The pages of a snapshot are limited in size, unlike the changes since a
+  // revision, of which the last one of each key matters.
+  const bool IsTooLarge =
+      Result.ResultStatus == StoreResult::Status::TooLarge && !NeedsSnapshot;
+  if (IsTooLarge) {
+    restartSnapshot();
+    return std::nullopt;
+  }
   const bool IsHistoryLost =
       Result.ResultStatus == StoreResult::Status::HistoryLost;
   if ((!IsAnswered && !IsHistoryLost) || Result.Position.Era < minEra(Result)) {
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -72,7 +72,10 @@
     /// The store answered that it cannot serve the call now.
     Refused,
     /// There was no answer, or it could not be decoded.
-    Failed
+    Failed,
+    /// The answer was larger than an instance accepts. Changes gather until the
+    /// next call, so the same call would fail again.
+    TooLarge
   };
 
   Status ResultStatus = Status::Failed;
@@ -166,6 +169,9 @@
   /// Processes the result of the pending call.
   std::optional<Update> onResult(StoreResult Result);
 
+  /// Whether a call was started whose result has not been processed yet.
+  bool isCallPending() const { return IsCallPending; }
+
   /// Returns whether a whole snapshot has been received.
   bool isSnapshotLoaded() const { return SnapshotLoaded; }
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -215,5 +215,17 @@
   EXPECT_EQ(call("PUT", "/big", "x").Status, 200);
 }
 
+// Guards against a caller that repeats a call whose answer can only grow.
+TEST_F(HttpTest, ReportsThatAResponseIsTooLarge) {
+  Server.route("GET", "/huge",
+               [](const HttpRequest &, const HttpServer::Respond &Respond) {
+                 Respond({200, std::string(9 << 20, 'x')});
+               });
+  const HttpResult Result = call("GET", "/huge");
+  EXPECT_EQ(Result.Status, 0);
+  EXPECT_TRUE(Result.IsTooLarge);
+  EXPECT_FALSE(call("GET", "/missing").IsTooLarge);
+}
+
 } // namespace
 } // namespace indigopoint
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -289,5 +289,30 @@
   EXPECT_FALSE(startCallIfDue());
 }
 
+// Guards against a watch that is repeated without end: the changes since its
+// revision exceed what an instance accepts, and more changes only add to them.
+TEST_F(StoreSyncTest, TooManyChangesAreReadAsASnapshot) {
+  readSnapshot();
+  ASSERT_EQ(nextCall().QueryKind, StoreQuery::Kind::Watch);
+  Sync.onResult(makeFailure(StoreResult::Status::TooLarge));
+  EXPECT_EQ(Sync.failures(), 0U);
+  EXPECT_EQ(Sync.nextCallAt(), TimeSource.now());
+  ASSERT_EQ(nextCall().QueryKind, StoreQuery::Kind::Snapshot);
+  const auto Update = Sync.onResult(makeAnswer(40, {item("a", 39)}));
+  ASSERT_TRUE(Update);
+  EXPECT_EQ(Update->ContentKind, Content::Snapshot);
+  const StoreQuery Watch = nextCall();
+  EXPECT_EQ(Watch.QueryKind, StoreQuery::Kind::Watch);
+  EXPECT_EQ(Watch.AfterRevision, 40U);
+}
+
+// A snapshot whose page is too large cannot be read another way.
+TEST_F(StoreSyncTest, PageThatIsTooLargeIsAFailure) {
+  ASSERT_TRUE(startCallIfDue());
+  Sync.onResult(makeFailure(StoreResult::Status::TooLarge));
+  EXPECT_EQ(Sync.failures(), 1U);
+  EXPECT_GT(Sync.nextCallAt(), TimeSource.now());
+}
+
 } // namespace
 } // namespace indigopoint
