Set the timer of the next call to the store again if it fires early

Cause: a timer counts from the begin of the event loop's iteration, before the answer was decoded. After a large answer it fired early by more than the slack of 20 ms, the call was not due, and nothing set the timer again; the next call waited up to 3 s for the contact of a peer. Evidence: no call failed in the gap, none was made.

Result: StoreFollowerTest.NextCallComesInTimeAfterASlowAnswer failed before (fewer than 6 calls in 5 s) and passes.

--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -89,8 +89,14 @@
 
 void StoreFollower::Impl::startCallIfDue() {
   TimeSource.refresh();
-  if (!Sync.isDue())
+  if (Sync.isCallPending())
     return;
+  // A timer counts from the begin of the loop's iteration, so it fires too
+  // early by the time that the decoding of a large answer took.
+  if (!Sync.isDue()) {
+    schedule();
+    return;
+  }
   const StoreQuery Query = Sync.start(Planner.next(Sync));
   if (!Query.Peer) {
     askStore(Query);
--- /dev/null
+++ b/tests/store_follower_test.cpp
@@ -0,0 +1,81 @@
+#include "store_follower.h"
+
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "http_server.h"
+#include "loop_test_support.h"
+
+namespace indigopoint {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A follower without peers whose store answers each watch with one change.
+class StoreFollowerTest : public testing::Test {
+protected:
+  void SetUp() override {
+    Store.route(
+        "GET", "/",
+        [this](const HttpRequest &, const HttpServer::Respond &Respond) {
+          Calls.push_back(Clock.now());
+          Respond({200, ""});
+        });
+    ASSERT_FALSE(Store.open(AnyPort));
+    Settings.Name = "test";
+    Settings.Zone = "a";
+    Settings.Store = Store.address();
+    Settings.PeerAddress = unusedAddress();
+    Settings.ChangeBound = 1s;
+  }
+
+  StoreProtocol protocol() {
+    StoreProtocol Out;
+    Out.EncodeQuery = [](const StoreQuery &) {
+      HttpCall Call;
+      Call.Target = "/";
+      return Call;
+    };
+    Out.DecodeResult = [this](const StoreQuery &, const HttpResult &Answer) {
+      std::this_thread::sleep_for(DecodingTime);
+      StoreResult Result;
+      if (Answer.Status != 200)
+        return Result;
+      Result.ResultStatus = StoreResult::Status::Answered;
+      Result.Position.Revision = ++Revision;
+      Result.Items = {{"key", "value", Revision, Revision, false}};
+      return Result;
+    };
+    return Out;
+  }
+
+  EventLoop Loop;
+  SteadyClock Clock;
+  EventClock TimeSource;
+  EventLog Log{{"test"}, TimeSource};
+  HttpServer Store{Loop};
+  ForwarderSettings Settings;
+  std::vector<TimePoint> Calls;
+  Duration DecodingTime{};
+  uint64_t Revision = 0;
+};
+
+// Guards against an instance that follows nothing for seconds after each large
+// answer: the timer of the next call began to count before the answer was
+// decoded, fired too early and was not set again.
+TEST_F(StoreFollowerTest, NextCallComesInTimeAfterASlowAnswer) {
+  DecodingTime = 150ms;
+  StoreFollower Follower(
+      Loop, Settings, protocol(), TimeSource, Log,
+      {[](const StoreSync::Update &) {}, [] { return ConfigVersion(); },
+       [](const StoreItem &, const StoreItem *) { return false; }});
+  ASSERT_EQ(Follower.start(), "");
+  // The delay after a change is a fifth of the bound.
+  ASSERT_TRUE(runUntil(Loop, [this] { return Calls.size() >= 6; }));
+  for (size_t Index = 1; Index < Calls.size(); ++Index)
+    EXPECT_LT(Calls[Index] - Calls[Index - 1], 700ms) << Index;
+}
+
+} // namespace
+} // namespace indigopoint
