Replace a silent connection to the store within the maximum age

Cause: the wait of a watch and the timeout of its answer filled the maximum age of the data; the delay of the retry, a peer that is asked first and the next call came on top.

Change: the wait is 0.6 s shorter.

--- a/src/sync_planner.cpp
+++ b/src/sync_planner.cpp
@@ -7,6 +7,11 @@
 // Maximum time for the answer to a call without wait.
 constexpr Duration AnswerTimeout = std::chrono::milliseconds(900);
 
+// From the end of a call that timed out until the store has answered another
+// one: the delay of the retry, a peer that does not answer either, and the
+// call.
+constexpr Duration RecoveryTime = std::chrono::milliseconds(600);
+
 // Maximum age of the data of a peer before the store itself is asked. The rest
 // of ChangeBound is left for that call and one retry.
 Duration maxPeerDataAge(Duration ChangeBound) { return ChangeBound * 3 / 5; }
@@ -41,7 +46,10 @@
 }
 
 SyncSource SyncPlanner::choose(const StoreSync &Sync) {
-  const SyncSource Store{std::nullopt, Opts.MaxAge - AnswerTimeout};
+  // A connection can go silent right after a watch began. It is noticed when
+  // the answer is overdue.
+  const SyncSource Store{std::nullopt,
+                         Opts.MaxAge - AnswerTimeout - RecoveryTime};
   const bool FollowsReader = followsReader(Sync);
   if (FollowsReader && !isDataTooOld(Sync))
     return {Peers.zoneReader(), Opts.ChangeBound / 5};
