Play an upgrade from an earlier commit with real processes

make upgrade FROM=COMMIT builds that commit from the history, replaces the running forwarders one after the other, goes back halfway and forward again, under the traffic of the soak, and fails if a flow is lost; then both programs run side by side under random faults, chosen at each start. Instances of the soak now report to each other, so that evidence and placements are played as well.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SEEDS ?= 4
 JOBS ?= 3
 
-.PHONY: deps build test lint format generate sanitize demo forward-demo soak flood measure bench experiment fuzz clean
+.PHONY: deps build test lint format generate sanitize demo forward-demo soak upgrade flood measure bench experiment fuzz clean
 
 deps:
 	@scripts/install_packages.sh
@@ -48,6 +48,10 @@
 soak: build
 	@python3 soak/soak.py $(BUILD)/indigopoint --seed $(SEED) --minutes $(MINUTES)
 
+# Runs the program beside that of the commit FROM, through an upgrade and under faults.
+upgrade: build
+	@scripts/upgrade.sh $(BUILD) $(FROM) $(SEED) $(MINUTES)
+
 # Measures the CPU time of a packet with and without logs and scrapes; fails if a
 # packet is lost.
 flood: build
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -1,7 +1,8 @@
 """Runs real forwarders against the stand-in for the deployment platform under random
 faults, and checks the guarantees from what clients and upstreams observe.
 
-Usage: soak.py PROGRAM --seed N --minutes M [--instances N] [--defect KIND]"""
+Usage: soak.py PROGRAM --seed N --minutes M [--instances N] [--defect KIND]
+               [--earlier-program PROGRAM [--upgrade]]"""
 
 import argparse
 import os
@@ -20,6 +21,7 @@
 from forwarder_process import Instance, free_port  # noqa: E402
 from oracle import Bounds, Oracle  # noqa: E402
 from traffic import Clients, Fabric  # noqa: E402
+from upgrade import Upgrade  # noqa: E402
 
 CHAT, PHOTOS = ("198.18.0.1", 443), ("198.18.0.1", 8443)
 PROBE_ROUTES = [("198.18.0.2", 443), ("198.18.0.2", 8443)]
@@ -41,14 +43,17 @@
 class System:
     """All processes and stand-ins of one run."""
 
-    def __init__(self, program, folder, instances, seed, defect):
+    def __init__(self, program, folder, instances, seed, defect, earlier_program=None):
         self.defect = defect
+        # Each start of an instance takes one of these, if there are two.
+        self.programs = [program, earlier_program] if earlier_program else [program]
+        self.random = random.Random(seed)
         self.oracle, self.store = Oracle(Bounds(cold_per_s=COLD_PER_S)), Store()
         # An upstream of the other zone never gets faults and is never cold, so the services
         # stay available.
         self.evacuated_zone = random.Random(seed).choices(ZONES, (3, 1))[0]
         self.configuration_writer = ConfigurationWriter(self.store, self.oracle)
-        port = free_port()
+        port, self.report_port = free_port(), free_port()
         self.routes = {CHAT: "chat", PHOTOS: "photos", PROBE_ROUTES[0]: "chat"}
         self.probe_routes = PROBE_ROUTES
         self.upstreams = []
@@ -66,7 +71,7 @@
         self.configuration_writer.publish(self.routes)
         self.instances = []
         for number in range(1, instances + 1):
-            self.add_instance(program, folder, number, port)
+            self.add_instance(self.programs[-1], folder, number, port)
         self.clients = Clients("127.0.2.1", port, Fabric(self.instances), self.oracle, seed)
         self.clients.upstream_is_undisturbed = self.upstream_is_undisturbed
         for upstream in [*self.upstreams, self.foreign]:
@@ -84,13 +89,16 @@
         proxy = FaultProxy(store_server.server_address)
         instance = Instance(program, folder, "instance-%d" % number, "127.0.1.%d" % number, port,
                             proxy.address, seeds=[other.peer_address for other in self.instances],
-                            maxStoreAgeMs=2000, changeBoundMs=2000)
+                            maxStoreAgeMs=2000, changeBoundMs=2000,
+                            reportAddress="127.0.1.%d:%d" % (number, self.report_port))
         instance.store_server, instance.proxy, instance.start_count = store_server, proxy, 1
         self.instances.append(instance)
 
     def start(self, instance):
         instance.start_count += 1
         self.oracle.record_lost_state(instance.name)
+        if not hasattr(instance, "next_program"):
+            instance.program = self.random.choice(self.programs)
         if self.defect != "no-restart":
             instance.start()
 
@@ -150,9 +158,10 @@
 
 
 class Soak:
-    def __init__(self, system, seed):
+    def __init__(self, system, seed, upgrade=None):
         self.system, self.random = system, random.Random(seed)
-        self.faults = Faults(system, self.random)
+        self.upgrade = upgrade
+        self.faults = upgrade or Faults(system, self.random)
 
     def every(self, period, action):
         def run_and_reschedule():
@@ -183,9 +192,11 @@
             clients.after(2, self.remove_route_unreported)
         if self.system.defect == "untold-faults":
             clients.after(2, self.cut_store_unreported)
-        while time.monotonic() < end:
+        while time.monotonic() < end or (self.upgrade and not self.upgrade.is_complete()):
             clients.run(0.02)
-            if time.monotonic() >= next_fault:
+            if self.upgrade:
+                self.upgrade.step()
+            elif time.monotonic() >= next_fault:
                 self.faults.step()
                 next_fault += self.random.expovariate(1 / FAULT_PERIOD_S)
             self.faults.run_due()
@@ -227,6 +238,10 @@
     parser.add_argument("--minutes", type=float, default=1)
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs, kept after a failure")
+    parser.add_argument("--earlier-program",
+                        help="instances run this program as well, chosen at each start")
+    parser.add_argument("--upgrade", action="store_true",
+                        help="upgrades from the earlier program, without other faults")
     parser.add_argument("--defect", choices=DEFECTS, help="breaks the run on purpose")
     return parser.parse_args()
 
@@ -236,8 +251,11 @@
     with tempfile.TemporaryDirectory() as temporary:
         folder = options.keep or pathlib.Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        system = System(options.program, folder, options.instances, options.seed, options.defect)
-        soak = Soak(system, options.seed)
+        system = System(options.program, folder, options.instances, options.seed, options.defect,
+                        options.earlier_program)
+        upgrade = (Upgrade(system, options.earlier_program, options.program)
+                   if options.upgrade else None)
+        soak = Soak(system, options.seed, upgrade)
         try:
             soak.run(options.minutes * 60)
         finally:
@@ -251,7 +269,10 @@
     for violation in violations[:20]:
         print("soak: violation at", violation)
     print("soak: seed %d: %d violations" % (options.seed, len(violations)))
-    return 1 if violations else 0
+    lost = clients.broken + clients.refused if options.upgrade else 0
+    if lost:
+        print("soak: an upgrade must lose no flow, but %d were" % lost)
+    return 1 if violations or lost else 0
 
 
 if __name__ == "__main__":
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -7,13 +7,13 @@
 #include "drain_monitor.h"
 #include "event_loop.h"
 #include "flow_steering.h"
+#include "forwarder_log.h"
 #include "forwarder_report.h"
 #include "held_packets.h"
 #include "http_server.h"
 #include "pause_guard.h"
 #include "peer_reporter.h"
 #include "steady_clock.h"
-#include "steering_log.h"
 #include "udp_endpoint.h"
 #include "upstream_check.h"
 #include "version.h"
@@ -61,11 +61,6 @@
   std::string start();
   std::string openReport();
   ForwarderView view() const;
-  void logUnresponsive(const Upstream &Target, const char *EvidenceSource);
-  void logOpenTimeout(const FlowAddress &Flow,
-                      const Upstream &UnresponsiveUpstream);
-  void logTagConflict(const FlowAddress &Flow, const Upstream &Target,
-                      const Upstream &Named);
   void startCheck(const Upstream &Suspect);
   void onCheckResult(UpstreamId Id, bool IsAccepting);
   void startReceiving();
@@ -77,8 +72,6 @@
   void releaseHeld(const FlowAddress &Flow);
   void dropExpired();
   void sendReset(const PacketHeader &Packet);
-  void logDecision(const PacketHeader &Packet,
-                   const SteeringDecision &Decision);
   void maintain();
   void stop();
   void finishStop();
@@ -88,7 +81,6 @@
            Gate.isReachable(TimeSource.now());
   }
   void updateGate();
-  EventLog::Fields storeStateFields() const;
 
   EventLoop &Loop;
   ForwarderSettings Settings;
@@ -107,6 +99,7 @@
   FlowSteering Steering;
   StoreUpdateApplier UpdateApplier;
   StoreFollower Follower;
+  ForwarderLog FlowLog;
   PeerReporter Reports;
   UpstreamCheck Checks;
   UdpEndpoint DataSocket;
@@ -142,7 +135,7 @@
                {.OnOpenTimeout =
                     [this](const FlowAddress &Flow,
                            const Upstream &UnresponsiveUpstream) {
-                      logOpenTimeout(Flow, UnresponsiveUpstream);
+                      FlowLog.writeOpenTimeout(Flow, UnresponsiveUpstream);
                     },
                 .OnCheckNeeded =
                     [this](const Upstream &Suspect) { startCheck(Suspect); },
@@ -150,7 +143,7 @@
                     [this](const PacketHeader &Packet,
                            const SteeringDecision &Decision) {
                       sendReset(Packet);
-                      logDecision(Packet, Decision);
+                      FlowLog.writeDecision(Packet, Decision);
                     },
                 .IsOutdated =
                     [this] {
@@ -164,7 +157,7 @@
                 .OnTagConflict =
                     [this](const FlowAddress &Flow, const Upstream &Target,
                            const Upstream &Named) {
-                      logTagConflict(Flow, Target, Named);
+                      FlowLog.writeTagConflict(Flow, Target, Named);
                     },
                 .OnPlacement =
                     [this](const FlowPlacement &Placement) {
@@ -175,7 +168,7 @@
                 .OnUnresponsive =
                     [this](const Upstream &Target) {
                       Reports.addEvidence(Target, false);
-                      logUnresponsive(Target, "own");
+                      FlowLog.writeUnresponsive(Target, "own");
                     },
                 .OnStopped =
                     [this](const Upstream &Target) {
@@ -183,7 +176,7 @@
                     },
                 .OnReportedUnresponsive =
                     [this](const Upstream &Target) {
-                      logUnresponsive(Target, "reported");
+                      FlowLog.writeUnresponsive(Target, "reported");
                     }}),
       UpdateApplier(this->Protocol.DecodeItem, TimeSource, Log, Routes,
                     Upstreams, registrationLifetime(this->Settings)),
@@ -196,6 +189,7 @@
                 [this](const StoreItem &Known, const StoreItem *Restored) {
                   return UpdateApplier.supersedes(Known, Restored);
                 }}),
+      FlowLog(Log, TimeSource, Routes, Follower),
       Reports(Loop,
               {this->Settings.ReportAddress, this->Settings.PeerAddress,
                this->Settings.Zone},
@@ -291,29 +285,6 @@
           Spill};
 }
 
-void Forwarder::Impl::logOpenTimeout(const FlowAddress &Flow,
-                                     const Upstream &UnresponsiveUpstream) {
-  Log.write(LogEvent::UpstreamSilent, [&] {
-    EventLog::Fields Line = describeOpenTimeout(Flow, UnresponsiveUpstream);
-    Line.update(storeStateFields());
-    return Line;
-  });
-}
-
-void Forwarder::Impl::logTagConflict(const FlowAddress &Flow,
-                                     const Upstream &Target,
-                                     const Upstream &Named) {
-  Log.write(LogEvent::FlowTagConflict,
-            [&] { return describeTagConflict(Flow, Target, Named); });
-}
-
-void Forwarder::Impl::logUnresponsive(const Upstream &Target,
-                                      const char *EvidenceSource) {
-  Log.write(LogEvent::UpstreamUnresponsive, [&] {
-    return describeUnresponsive(Target, EvidenceSource, TimeSource.now());
-  });
-}
-
 void Forwarder::Impl::startCheck(const Upstream &Suspect) {
   if (const Upstream *ReferenceUpstream =
           Upstreams.mostRecentlyAnswering(Suspect))
@@ -324,16 +295,7 @@
   TimeSource.refresh();
   Steering.recordCheckResult(Id, IsAccepting);
   DataSocket.flush();
-  Log.write(LogEvent::UpstreamChecked, [&] {
-    const Upstream *CheckedUpstream = Upstreams.find(Id);
-    EventLog::Fields Line = {
-        {"upstream", toHex(Id)},
-        {"accepting", IsAccepting},
-        {"dead", CheckedUpstream != nullptr &&
-                     CheckedUpstream->Reachability.isDead(TimeSource.now())}};
-    Line.update(storeStateFields());
-    return Line;
-  });
+  FlowLog.writeCheckResult(Id, IsAccepting, Upstreams.find(Id));
 }
 
 void Forwarder::Impl::startReceiving() {
@@ -350,7 +312,8 @@
   TimeSource.refresh();
   if (!Pauses.recordActivity(TimeSource.now()))
     return;
-  Log.write(LogEvent::PauseNoticed, [this] { return storeStateFields(); });
+  Log.write(LogEvent::PauseNoticed,
+            [this] { return FlowLog.storeStateFields(); });
   Gate.discardWaits();
   Follower.confirmNow();
 }
@@ -365,7 +328,7 @@
   LastPacketTime = TimeSource.now();
   if (process(Packet, Datagram)) {
     if (!Held.add(Packet, Datagram, TimeSource.now()))
-      logDecision(Packet, UnidentifiedDrop);
+      FlowLog.writeDecision(Packet, UnidentifiedDrop);
   } else if (!Held.isEmpty()) {
     releaseHeld(Packet.Flow);
   }
@@ -384,7 +347,7 @@
   } else if (Decision.Action == SteeringAction::Reset) {
     sendReset(Packet);
   }
-  logDecision(Packet, Decision);
+  FlowLog.writeDecision(Packet, Decision);
   return false;
 }
 
@@ -393,7 +356,7 @@
     if (!process(Entry.Header, Entry.Datagram))
       ++Metrics.ReleasedPackets;
     else if (!Held.add(Entry.Header, Entry.Datagram, Entry.HeldAt))
-      logDecision(Entry.Header, UnidentifiedDrop);
+      FlowLog.writeDecision(Entry.Header, UnidentifiedDrop);
   }
 }
 
@@ -408,7 +371,7 @@
 
 void Forwarder::Impl::dropExpired() {
   for (const HeldPackets::Entry &Entry : Held.takeExpired(TimeSource.now()))
-    logDecision(Entry.Header, UnidentifiedDrop);
+    FlowLog.writeDecision(Entry.Header, UnidentifiedDrop);
 }
 
 // Clients receive at the same port number as this process.
@@ -417,24 +380,6 @@
   DataSocket.commit({Packet.Flow.Client.Address, Settings.DataAddress.Port});
 }
 
-EventLog::Fields Forwarder::Impl::storeStateFields() const {
-  EventLog::Fields Out = {{"configuration", Routes.version().value()}};
-  Out.update(Follower.storeStateFields());
-  return Out;
-}
-
-void Forwarder::Impl::logDecision(const PacketHeader &Packet,
-                                  const SteeringDecision &Decision) {
-  const auto Event = logEventOf(Decision);
-  if (!Event)
-    return;
-  Log.write(*Event, [&] {
-    EventLog::Fields Line = describe(Packet, Decision);
-    Line.update(storeStateFields());
-    return Line;
-  });
-}
-
 void Forwarder::Impl::maintain() {
   recordActivity();
   Upstreams.recordStoreSync(Follower.sync().confirmedAt());
@@ -470,7 +415,7 @@
     ++UpstreamLosses;
   Log.write(IsReachable ? LogEvent::UpstreamsRegained : LogEvent::UpstreamsLost,
             [this] {
-              EventLog::Fields Line = storeStateFields();
+              EventLog::Fields Line = FlowLog.storeStateFields();
               Line["zoneSilent"] = Gate.isZoneSilent();
               return Line;
             });
--- /dev/null
+++ b/src/forwarder_log.cpp
@@ -0,0 +1,62 @@
+#include "forwarder_log.h"
+
+#include "steering_log.h"
+#include "store_follower.h"
+
+namespace indigopoint {
+
+EventLog::Fields ForwarderLog::storeStateFields() const {
+  EventLog::Fields Out = {{"configuration", Routes.version().value()}};
+  Out.update(Follower.storeStateFields());
+  return Out;
+}
+
+void ForwarderLog::writeDecision(const PacketHeader &Packet,
+                                 const SteeringDecision &Decision) {
+  const auto Event = logEventOf(Decision);
+  if (!Event)
+    return;
+  Log.write(*Event, [&] {
+    EventLog::Fields Line = describe(Packet, Decision);
+    Line.update(storeStateFields());
+    return Line;
+  });
+}
+
+void ForwarderLog::writeOpenTimeout(const FlowAddress &Flow,
+                                    const Upstream &UnresponsiveUpstream) {
+  Log.write(LogEvent::UpstreamSilent, [&] {
+    EventLog::Fields Line = describeOpenTimeout(Flow, UnresponsiveUpstream);
+    Line.update(storeStateFields());
+    return Line;
+  });
+}
+
+void ForwarderLog::writeTagConflict(const FlowAddress &Flow,
+                                    const Upstream &Target,
+                                    const Upstream &Named) {
+  Log.write(LogEvent::FlowTagConflict,
+            [&] { return describeTagConflict(Flow, Target, Named); });
+}
+
+void ForwarderLog::writeUnresponsive(const Upstream &Target,
+                                     const char *EvidenceSource) {
+  Log.write(LogEvent::UpstreamUnresponsive, [&] {
+    return describeUnresponsive(Target, EvidenceSource, TimeSource.now());
+  });
+}
+
+void ForwarderLog::writeCheckResult(UpstreamId Id, bool IsAccepting,
+                                    const Upstream *Checked) {
+  Log.write(LogEvent::UpstreamChecked, [&] {
+    EventLog::Fields Line = {
+        {"upstream", toHex(Id)},
+        {"accepting", IsAccepting},
+        {"dead",
+         Checked != nullptr && Checked->Reachability.isDead(TimeSource.now())}};
+    Line.update(storeStateFields());
+    return Line;
+  });
+}
+
+} // namespace indigopoint
