--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -96,7 +96,7 @@
     runFor(Loop, 50ms);
     sendOpening();
     EXPECT_TRUE(runUntil(Loop, [this] { return !Received.empty(); }));
-    const std::string Tag = Received.at(0).substr(8 + TagOffset, 4);
+    std::string Tag = Received.at(0).substr(8 + TagOffset, 4);
     Received.clear();
     return Tag;
   }
