Let the upgrade of the soak be a kind of Faults

Cause: upgrade.py waited for the end of a process, checked its exit code and started it again with a copy of Faults.await_end, kept its own list of busy instances, and System.start looked for an attribute to tell whether an upgrade runs.

Change: Upgrade extends Faults and calls await_end; the upgrade clears the list of programs from which a start chooses.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -46,7 +46,7 @@
     def __init__(self, program, folder, instances, seed, defect, earlier_program=None,
                  has_reports=False):
         self.defect = defect
-        # Each start of an instance takes one of these, if there are two.
+        # Each start of an instance takes one of these.
         self.programs = [program, earlier_program] if earlier_program else [program]
         self.random = random.Random(seed)
         self.oracle, self.store = Oracle(Bounds(cold_per_s=COLD_PER_S)), Store()
@@ -100,7 +100,7 @@
     def start(self, instance):
         instance.start_count += 1
         self.oracle.record_lost_state(instance.name)
-        if not hasattr(instance, "next_program"):
+        if self.programs:
             instance.program = self.random.choice(self.programs)
         if self.defect != "no-restart":
             instance.start()
@@ -161,10 +161,16 @@
 
 
 class Soak:
-    def __init__(self, system, seed, upgrade=None):
+    def __init__(self, system, seed):
         self.system, self.random = system, random.Random(seed)
-        self.upgrade = upgrade
-        self.faults = upgrade or Faults(system, self.random)
+        self.upgrade = None
+        self.faults = Faults(system, self.random)
+
+    def upgrade_from(self, earlier_program, program):
+        """Plays an upgrade in place of the faults."""
+        self.faults = self.upgrade = Upgrade(self.system, self.random, earlier_program, program)
+        # The upgrade chooses the program of each start.
+        self.system.programs = []
 
     def every(self, period, action):
         def run_and_reschedule():
@@ -258,9 +264,9 @@
         folder.mkdir(parents=True, exist_ok=True)
         system = System(options.program, folder, options.instances, options.seed, options.defect,
                         options.earlier_program, options.reports)
-        upgrade = (Upgrade(system, options.earlier_program, options.program)
-                   if options.upgrade else None)
-        soak = Soak(system, options.seed, upgrade)
+        soak = Soak(system, options.seed)
+        if options.upgrade:
+            soak.upgrade_from(options.earlier_program, options.program)
         try:
             soak.run(options.minutes * 60)
         finally:
