Keep the key of a registration with its upstream

An instance that follows changes for weeks kept the key of every upstream that ever registered.

Change: the key stands in the upstream's entry, which expires with it. The rule for another key is the same.

--- a/src/store_update_applier.cpp
+++ b/src/store_update_applier.cpp
@@ -72,17 +72,19 @@
   if (!mayChange(Item, Id))
     return logUnreadable(Item,
                          "another key registers the upstream " + toHex(Id));
-  RegistrationKeys[Id] = Item.Key;
   SnapshotUpstreams.push_back(Id);
   const auto Verdict =
       IsFromRestoredStore
           ? RestorationReview::judge(Registration, Upstreams.find(Id))
           : RestorationReview::Verdict::Apply;
-  if (Verdict == RestorationReview::Verdict::Apply) {
+  const bool IsApplied = Verdict == RestorationReview::Verdict::Apply;
+  if (IsApplied) {
     Review.release(Id);
     put(Registration, Item.CreatedRevision, Item.Revision);
-    return;
   }
+  Upstreams.find(Id)->RegistrationKey = Item.Key;
+  if (IsApplied)
+    return;
   const bool IsHeld = Verdict == RestorationReview::Verdict::Hold;
   if (IsHeld)
     Review.hold({Registration, Item.CreatedRevision});
@@ -97,10 +99,9 @@
 }
 
 bool StoreUpdateApplier::mayChange(const StoreItem &Item, UpstreamId Id) {
-  const auto It = RegistrationKeys.find(Id);
   const Upstream *Known = Upstreams.find(Id);
-  return It == RegistrationKeys.end() || It->second == Item.Key ||
-         Known == nullptr || Known->State == UpstreamState::Unregistered;
+  return Known == nullptr || Known->State == UpstreamState::Unregistered ||
+         Known->RegistrationKey == Item.Key;
 }
 
 void StoreUpdateApplier::put(const UpstreamRegistration &Registration,
@@ -252,9 +253,6 @@
   else
     for (const UpstreamId Id : MissingIds)
       logUpstream(Id, Upstreams.remove(Id, Now), 0);
-  std::erase_if(RegistrationKeys, [this](const auto &Entry) {
-    return Upstreams.find(Entry.first) == nullptr;
-  });
   Upstreams.markComplete();
 }
 
--- a/src/store_update_applier.h
+++ b/src/store_update_applier.h
@@ -3,7 +3,6 @@
 #include <functional>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <variant>
 
 #include "clock.h"
@@ -103,9 +102,6 @@
   bool IsFromRestoredStore = false;
   /// Upstreams that are registered in the snapshot that is being read.
   std::vector<UpstreamId> SnapshotUpstreams;
-  /// The key that registers each upstream. Another writer may use a key that
-  /// leads to the same id.
-  std::unordered_map<UpstreamId, std::string> RegistrationKeys;
   /// Zones that are evacuated in the snapshot that is being read.
   std::vector<std::string> SnapshotEvacuations;
 };
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -50,6 +50,9 @@
 
   UpstreamRegistration Registration;
   UpstreamState State = UpstreamState::Ready;
+  /// The key of the registration in the store. Another writer may use a key
+  /// that leads to the same id. Written by StoreUpdateApplier.
+  std::string RegistrationKey;
   /// Revision of the registration store at which the registration was created.
   uint64_t CreatedRevision = 0;
   TimePoint WarmupEnd{};
