Give up an open flow only on a confirmed check

Cause: verdicts from silence or old data. An instance that found its zone silent for 600 ms reset the zone's idle flows without asking any upstream; a registration that was missing for 2.5 s by the store's word reset waiting ones; the word of two instances, or one unanswered connection check, reset idle ones; and the timer of a check fired before the event of a connection that was established in time. Late clients, an instance without processor time and a store that came back from a copy look the same as dead upstreams.

Change: silence, reports of others and a missing registration are reasons to check. A flow is given up if a check of this instance was refused, or if it was left without an answer and a second one or another instance's confirms it, or if the whole zone is silent to this instance and two others' checks failed. A check that was established counts when its event is late; pending packets are read before a verdict. Checks that start together share the reference. The upstreams that are late in a zone that answers nothing are checked before the zone is left, so that the confirmation costs little time. A copy of an opening without a route and an adopted flow that may wait for an answer are no longer reset.

--- a/src/connect_check.cpp
+++ b/src/connect_check.cpp
@@ -1,17 +1,44 @@
 #include "connect_check.h"
 
+#include <cerrno>
 #include <list>
 #include <new>
 #include <utility>
 
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/socket.h>
 
 #include "event_loop.h"
 #include "socket_address.h"
 
 namespace indigopoint {
 
+namespace {
+
+CheckResult resultOf(int Error) {
+  if (Error == 0)
+    return CheckResult::Accepted;
+  return Error == ECONNREFUSED ? CheckResult::Refused : CheckResult::NoAnswer;
+}
+
+// What the system knows of a connection attempt, whether or not its event has
+// been processed.
+CheckResult currentResult(int Socket) {
+  sockaddr_in Peer{};
+  socklen_t Size = sizeof(Peer);
+  if (getpeername(Socket, reinterpret_cast<sockaddr *>(&Peer), &Size) == 0)
+    return CheckResult::Accepted;
+  int Error = 0;
+  Size = sizeof(Error);
+  const bool IsKnown =
+      getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Size) == 0 &&
+      Error != 0;
+  return IsKnown ? resultOf(Error) : CheckResult::NoAnswer;
+}
+
+} // namespace
+
 struct ConnectCheck::Impl {
   struct Attempt {
     ~Attempt() {
@@ -28,16 +55,25 @@
 
   explicit Impl(EventLoop &Loop) : Loop(Loop) {}
 
-  void finish(Attempt &FinishedAttempt, bool IsAccepting) {
+  void finish(Attempt &FinishedAttempt, CheckResult Result) {
     const ResultHook OnResult = std::move(FinishedAttempt.OnResult);
     Attempts.erase(FinishedAttempt.Position);
-    OnResult(IsAccepting);
+    OnResult(Result);
+  }
+
+  // The timer and the connection's event can be due at the same time if the
+  // process was paused, and the event's callback is deferred.
+  void onTimeout(Attempt &LateAttempt) {
+    finish(LateAttempt,
+           currentResult(bufferevent_getfd(LateAttempt.Connection)));
   }
 
   static void onEvent(bufferevent *, short Events, void *Context) {
     auto &FinishedAttempt = *static_cast<Attempt *>(Context);
     FinishedAttempt.Owner->finish(FinishedAttempt,
-                                  (Events & BEV_EVENT_CONNECTED) != 0);
+                                  (Events & BEV_EVENT_CONNECTED) != 0
+                                      ? CheckResult::Accepted
+                                      : resultOf(EVUTIL_SOCKET_ERROR()));
   }
 
   EventLoop &Loop;
@@ -72,7 +108,7 @@
                                  sizeof(Address)) == 0;
   NewAttempt.TimeoutTimer = LoopEvent::after(
       PImpl->Loop, IsConnecting ? Timeout : Duration(),
-      [Owner = PImpl.get(), &NewAttempt] { Owner->finish(NewAttempt, false); });
+      [Owner = PImpl.get(), &NewAttempt] { Owner->onTimeout(NewAttempt); });
 }
 
 } // namespace indigopoint
--- a/src/connect_check.h
+++ b/src/connect_check.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 
+#include "check_result.h"
 #include "types.h"
 
 namespace indigopoint {
@@ -13,15 +14,16 @@
 /// is sent, so a server that is slow under load still passes the check.
 class ConnectCheck {
 public:
-  using ResultHook = std::function<void(bool IsAccepting)>;
+  using ResultHook = std::function<void(CheckResult)>;
 
   explicit ConnectCheck(EventLoop &Loop);
   ~ConnectCheck();
 
-  /// Connects to \p Target and closes the connection. The check fails on a
-  /// refusal, on an error, or if the connection is not established within
-  /// \p Timeout. The hook is called from the event loop, never from within
-  /// this call, and not after this object was destroyed.
+  /// Connects to \p Target and closes the connection. Errors other than a
+  /// refusal count as no answer, as does a connection that is not established
+  /// within \p Timeout. One that was established counts also if this process
+  /// learns of it later. The hook is called from the event loop, never from
+  /// within this call, and not after this object was destroyed.
   void start(Endpoint Target, Duration Timeout, ResultHook OnResult);
 
 private:
--- a/src/exchange_monitor.h
+++ b/src/exchange_monitor.h
@@ -62,6 +62,12 @@
   /// of this instance count as those of one.
   bool hasStopped(const Upstream &Target, TimePoint Now) const;
 
+  /// How many other instances reported a failed check since the upstream's
+  /// last answer.
+  size_t countStopReports(const Upstream &Target, TimePoint Now) const {
+    return Peers.countStopReports(Target, Now);
+  }
+
   /// Updates the effect of reported evidence on the upstreams of a service.
   void applyPeerEvidence(const std::string &Service, TimePoint Now);
 
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -69,8 +69,12 @@
   // In an opening packet, AckNumber is the number of earlier copies.
   const bool IsRetransmission = Packet.AckNumber != 0;
   const Route *MatchedRoute = Routes.find(Packet.Flow.ServiceAddress);
+  // An instance that knows the route may have forwarded an earlier copy, so the
+  // flow could be open; only a first opening packet is reset.
   if (MatchedRoute == nullptr)
-    return {SteeringAction::Reset, SteeringReason::NoRoute, nullptr};
+    return {Flow == nullptr && !IsRetransmission ? SteeringAction::Reset
+                                                 : SteeringAction::Drop,
+            SteeringReason::NoRoute, nullptr};
   if (Flow != nullptr && !isOpeningOf(Packet, *Flow)) {
     Exchanges.recordAbandonment(*Flow, TimeSource.now());
     uncountFlow(*Flow);
@@ -330,6 +334,7 @@
   Flow.RequestSentAt.reset();
   Flow.HighestAck = Packet.AckNumber;
   Flow.HasRetransmitted = false;
+  Flow.MayAwaitAnswer = false;
   LastAnswerFromAnyUpstream = Now;
   if (Opts.Gate != nullptr)
     Opts.Gate->recordAnswer(Target.Registration.Zone == Opts.Zone, Now);
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -99,7 +99,7 @@
   SteeringDecision steer(const PacketHeader &Packet);
 
   /// Processes the result of a check that OnCheckNeeded requested.
-  void recordCheckResult(UpstreamId Id, bool IsAccepting);
+  void recordCheckResult(UpstreamId Id, CheckResult Result);
 
   /// Processes evidence that another instance of the zone reported.
   void recordPeerEvidence(const PeerReport &Report);
@@ -121,9 +121,13 @@
   /// their clients lose nothing by it. Iterates over all flows if there is one.
   void resetFlowsOfDeadUpstreams();
 
+  /// Called when upstreams of the own zone are late and none answers: checks
+  /// them. Flows of an upstream are reset if its check fails.
+  void checkLateUpstreams();
+
   /// Called when all upstreams of the own zone have become silent: avoids those
-  /// of which no answer arrives meanwhile, and resets the flows that lose
-  /// nothing by it.
+  /// of which no answer arrives meanwhile, and checks those that other
+  /// instances have not found to have stopped.
   void leaveSilentZone();
 
   /// Removes closed and idle flows, and upstreams that no flow can use any
@@ -182,12 +186,15 @@
   /// Whether a flow may be reset although its upstream may only be silent.
   bool mayResetOnSuspicion(const FlowAddress &Flow) const;
   void requestCheckIfDue(Upstream &Target);
-  /// Resets the open flows of some upstreams that are idle or whose requests
-  /// are idempotent.
-  void resetFlowsOf(const std::function<bool(const Upstream &)> &IsAffected);
   /// Resets an open flow that sent no packet now.
   void resetFlow(const FlowAddress &Address, SteeredFlow &Flow,
                  Upstream &Target);
+  /// Records the failed checks of other instances, and checks the upstream
+  /// unless they suffice.
+  void recordWitnesses(Upstream &Target, bool IsInSilentZone);
+  /// Resets the waiting flows of a dead upstream, and its idle ones with the
+  /// next call of resetFlowsOfDeadUpstreams.
+  void giveUp(Upstream &DeadUpstream);
   /// Resets the flows of a dead upstream whose clients wait for an answer.
   void resetWaitingFlows(Upstream &DeadUpstream);
   Upstream *choose(const std::string &Service, const NewFlow &FlowToOpen,
--- a/src/flow_steering_resets.cpp
+++ b/src/flow_steering_resets.cpp
@@ -13,23 +13,39 @@
 // network connection works.
 constexpr Duration RecentAnswerWindow = std::chrono::milliseconds(500);
 
+// An instance to which a whole zone is silent takes the failed checks of this
+// many others for one of its own.
+constexpr size_t MinWitnessesInSilentZone = 2;
+
 } // namespace
 
-// A failed check is ignored if no upstream answered recently: the fault is then
-// more likely on this instance's side.
-void FlowSteering::recordCheckResult(UpstreamId Id, bool IsAccepting) {
+// A failed check without a reference is ignored if no upstream answered
+// recently: the fault is then more likely on this instance's side.
+void FlowSteering::recordCheckResult(UpstreamId Id, CheckResult Result) {
   const TimePoint Now = TimeSource.now();
   Upstream *Target = Upstreams.find(Id);
-  if (Target != nullptr &&
-      (IsAccepting || Now - LastAnswerFromAnyUpstream <= RecentAnswerWindow))
-    Target->Reachability.recordCheckResult(IsAccepting, Now);
-  if (Target == nullptr || !Target->Reachability.isDead(Now))
+  const bool IsAccepting = Result == CheckResult::Accepted;
+  // The reference of the check shows the same.
+  const bool IsPathKnownToWork =
+      Opts.Checks.UseReference ||
+      Now - LastAnswerFromAnyUpstream <= RecentAnswerWindow;
+  if (Target == nullptr || (!IsAccepting && !IsPathKnownToWork))
     return;
-  HasNewDeadUpstream = true;
-  if (Opts.Checks.ShareFailures)
+  const bool NeedsRepetition = Target->Reachability.recordCheckResult(
+      Result, Exchanges.countStopReports(*Target, Now) > 0, Now);
+  const bool IsDead = Target->Reachability.isDead(Now);
+  if (Opts.Checks.ShareFailures && (NeedsRepetition || IsDead))
     FlowHooks.OnStopped(*Target);
+  if (NeedsRepetition)
+    FlowHooks.OnCheckNeeded(*Target);
+  if (IsDead)
+    giveUp(*Target);
+}
+
+void FlowSteering::giveUp(Upstream &DeadUpstream) {
+  HasNewDeadUpstream = true;
   if (Opts.Checks.ResetWaitingFlows)
-    resetWaitingFlows(*Target);
+    resetWaitingFlows(DeadUpstream);
 }
 
 // The next retransmission of a waiting client may come too late for a new
@@ -63,35 +79,56 @@
 // The client of an idle flow sends its next request to a silent upstream unless
 // the flow is reset before. A waiting request that is not idempotent is left
 // alone, since its client would not send it again.
-void FlowSteering::resetFlowsOf(
-    const std::function<bool(const Upstream &)> &IsAffected) {
+void FlowSteering::resetFlowsOfDeadUpstreams() {
+  if (!std::exchange(HasNewDeadUpstream, false) || !Opts.Checks.ResetIdleFlows)
+    return;
   Flows.forEach([&](const FlowAddress &Address, SteeredFlow &Flow) {
     Upstream *Target = Upstreams.find(Flow.Upstream);
-    if (Target == nullptr || !IsAffected(*Target) ||
+    if (Target == nullptr || !Target->Reachability.isDead(TimeSource.now()) ||
         Flow.CurrentPhase != SteeredFlow::Phase::Open)
       return;
-    const bool IsIdle = !Flow.RequestSentAt;
+    const bool IsIdle = !Flow.RequestSentAt && !Flow.MayAwaitAnswer;
     if (IsIdle || mayResetOnSuspicion(Address))
       resetFlow(Address, Flow, *Target);
   });
 }
 
-void FlowSteering::resetFlowsOfDeadUpstreams() {
-  if (!std::exchange(HasNewDeadUpstream, false) || !Opts.Checks.ResetIdleFlows)
+// The silence may also be that of the clients, or of a machine without
+// processor time, so it gives up no flow.
+void FlowSteering::leaveSilentZone() {
+  for (Upstream *Silent : Upstreams.upstreamsOfZone(Opts.Zone)) {
+    Silent->Reachability.recordOpenTimeout(TimeSource.now());
+    if (Opts.Checks.ResetFlowsOfSilentZone)
+      recordWitnesses(*Silent, true);
+  }
+}
+
+void FlowSteering::checkLateUpstreams() {
+  if (!Opts.Checks.ResetFlowsOfSilentZone || Opts.Gate == nullptr)
     return;
-  resetFlowsOf([Now = TimeSource.now()](const Upstream &Target) {
-    return Target.Reachability.isDead(Now);
-  });
+  for (Upstream *Late : Upstreams.upstreamsOfZone(Opts.Zone))
+    if (Opts.Gate->isWaitingFor(Late->Registration.Id)) {
+      Late->Reachability.requestCheck();
+      requestCheckIfDue(*Late);
+    }
 }
 
-void FlowSteering::leaveSilentZone() {
+// The word of other instances may be old, or be that of their own path. It
+// gives up no flow unless this instance found the same: by a check, or since
+// all upstreams of the zone are silent to it.
+void FlowSteering::recordWitnesses(Upstream &Target, bool IsInSilentZone) {
   const TimePoint Now = TimeSource.now();
-  for (Upstream *Silent : Upstreams.upstreamsOfZone(Opts.Zone))
-    Silent->Reachability.recordOpenTimeout(Now);
-  if (Opts.Checks.ResetFlowsOfSilentZone)
-    resetFlowsOf([this](const Upstream &Target) {
-      return Target.Registration.Zone == Opts.Zone;
-    });
+  const size_t Witnesses = Exchanges.countStopReports(Target, Now);
+  if (Witnesses > 0)
+    Target.Reachability.recordWitness(Now);
+  if (IsInSilentZone && Witnesses >= MinWitnessesInSilentZone)
+    Target.Reachability.recordSilence(Now);
+  if (Target.Reachability.isDead(Now))
+    giveUp(Target);
+  else if (IsInSilentZone || Witnesses > 0) {
+    Target.Reachability.requestCheck();
+    requestCheckIfDue(Target);
+  }
 }
 
 void FlowSteering::recordPeerEvidence(const PeerReport &Report) {
@@ -100,26 +137,32 @@
   for (const UpstreamEvidence &Item : Report.Evidence) {
     Upstream *Target =
         Item.HasStopped ? Upstreams.find(Item.Upstream) : nullptr;
-    if (Target == nullptr || !Exchanges.hasStopped(*Target, Now))
+    if (Target == nullptr || Exchanges.countStopReports(*Target, Now) == 0)
       continue;
-    Target->Reachability.recordPeerVerdict(Now);
-    // Flows now avoid the upstream, so this instance finds no evidence of its
-    // own that its zone is silent.
-    recordWait(*Target);
-    HasNewDeadUpstream = true;
+    if (Exchanges.hasStopped(*Target, Now)) {
+      Target->Reachability.recordPeerVerdict(Now);
+      // Flows now avoid the upstream, so this instance finds no evidence of its
+      // own that its zone is silent.
+      recordWait(*Target);
+    }
+    const bool IsInSilentZone = Opts.Gate != nullptr &&
+                                Opts.Gate->isZoneSilent() &&
+                                Target->Registration.Zone == Opts.Zone;
+    recordWitnesses(*Target, IsInSilentZone);
   }
 }
 
 // Open flows are reset only if their upstream has certainly stopped: a wrong
 // reset breaks a working flow, while a missing reset only makes the client wait
-// for its timeout.
+// for its timeout. A registration can be missing although the upstream works.
 std::optional<SteeringReason>
 FlowSteering::reasonToReset(const PacketHeader &Packet, const Upstream &Target,
                             bool IsRetransmission) const {
   if (Upstreams.isAddressReused(Target))
     return SteeringReason::AddressReused;
-  if (Target.Reachability.isDead(TimeSource.now()) &&
-      mayResetOnSuspicion(Packet.Flow))
+  if (!Target.Reachability.isDead(TimeSource.now()))
+    return std::nullopt;
+  if (mayResetOnSuspicion(Packet.Flow))
     return SteeringReason::UpstreamDead;
   if (IsRetransmission && Upstreams.isPresumedStopped(Target))
     return SteeringReason::UpstreamGone;
--- a/src/flow_steering_tags.cpp
+++ b/src/flow_steering_tags.cpp
@@ -73,6 +73,7 @@
     assign(*Flow, Found.Target->Registration.Id);
     Flow->CurrentPhase = SteeredFlow::Phase::Open;
     Flow->IsAdopted = true;
+    Flow->MayAwaitAnswer = Packet.DataBytes > 0;
     Flow->InitialSequence = Packet.Sequence - 1;
     Flow->HighestAck = Packet.AckNumber;
     Flow->NextSequence = Packet.Sequence + Packet.DataBytes;
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -62,7 +62,8 @@
   std::string openReport();
   ForwarderView view() const;
   void startCheck(const Upstream &Suspect);
-  void onCheckResult(UpstreamId Id, bool IsAccepting);
+  void onCheckResult(UpstreamId Id, CheckResult Result);
+  void receiveReport(const PeerReport &Report);
   void startReceiving();
   void receive(std::string_view Datagram);
   /// Steers and sends a packet. Returns whether it must be held.
@@ -195,16 +196,13 @@
                this->Settings.Zone},
               TimeSource,
               {[this] { return Follower.recentPeersInZone(); },
-               [this](const PeerReport &Report) {
-                 Steering.recordPeerEvidence(Report);
-                 recordPlacements(Report.Placements);
-               },
+               [this](const PeerReport &Report) { receiveReport(Report); },
                [this](const FlowAddress &Flow) {
                  return Steering.placementOf(Flow);
                }}),
       Checks(Loop, this->Settings.Policy.Checks.UseReference,
-             [this](UpstreamId Id, bool IsAccepting) {
-               onCheckResult(Id, IsAccepting);
+             [this](UpstreamId Id, CheckResult Result) {
+               onCheckResult(Id, Result);
              }),
       DataSocket(this->Protocol.MaxPacketBytes), ReadinessServer(Loop),
       ReportServer(Loop, ReportIdleTimeout) {}
@@ -291,11 +289,25 @@
     Checks.start(Suspect, *ReferenceUpstream);
 }
 
-void Forwarder::Impl::onCheckResult(UpstreamId Id, bool IsAccepting) {
-  TimeSource.refresh();
-  Steering.recordCheckResult(Id, IsAccepting);
+// Packets that have arrived may show that the upstream has answered. The loss
+// of many upstreams costs one pass over the flows, after the last check.
+void Forwarder::Impl::onCheckResult(UpstreamId Id, CheckResult Result) {
+  recordActivity();
+  if (Result != CheckResult::Accepted)
+    DataSocket.receivePending();
+  Steering.recordCheckResult(Id, Result);
+  if (!Checks.isPending())
+    Steering.resetFlowsOfDeadUpstreams();
   DataSocket.flush();
-  FlowLog.writeCheckResult(Id, IsAccepting, Upstreams.find(Id));
+  FlowLog.writeCheckResult(Id, Result, Upstreams.find(Id));
+}
+
+void Forwarder::Impl::receiveReport(const PeerReport &Report) {
+  recordActivity();
+  if (!Report.Evidence.empty())
+    DataSocket.receivePending();
+  Steering.recordPeerEvidence(Report);
+  recordPlacements(Report.Placements);
 }
 
 void Forwarder::Impl::startReceiving() {
@@ -395,18 +407,23 @@
   writePending(Log, STDOUT_FILENO);
 }
 
+// This may run before packets that arrived in time are read, so the gate's word
+// counts only after they are. An answer among them withdraws it.
 void Forwarder::Impl::updateGate() {
   if (Drain || !Routes.isLoaded())
     return;
   const bool WasZoneSilent = Gate.isZoneSilent();
+  const bool WasZoneSuspect = Gate.isZoneSuspect();
   Gate.update({Upstreams.available(), Upstreams.availableIn(Settings.Zone),
                Follower.sync().confirmedAt() + Follower.maxUsualAge(),
                Upstreams.lastStartIn(Settings.Zone)},
               TimeSource.now());
-  if (Gate.isZoneSilent() && !WasZoneSilent) {
+  if (WasReachable && !Gate.isReachable(TimeSource.now()))
+    DataSocket.receivePending();
+  if (Gate.isZoneSilent() && !WasZoneSilent)
     Steering.leaveSilentZone();
-    DataSocket.flush();
-  }
+  else if (Gate.isZoneSuspect() && !WasZoneSuspect)
+    Steering.checkLateUpstreams();
   const bool IsReachable = Gate.isReachable(TimeSource.now());
   if (IsReachable == WasReachable)
     return;
--- a/src/forwarder_log.h
+++ b/src/forwarder_log.h
@@ -28,7 +28,7 @@
   /// \p EvidenceSource tells who found the evidence.
   void writeUnresponsive(const Upstream &Target, const char *EvidenceSource);
   /// \p Checked is null if the upstream is unknown by now.
-  void writeCheckResult(UpstreamId Id, bool IsAccepting,
+  void writeCheckResult(UpstreamId Id, CheckResult Result,
                         const Upstream *Checked);
 
   /// The configuration in force and the state of the store's data.
--- a/src/reachability_gate.cpp
+++ b/src/reachability_gate.cpp
@@ -45,6 +45,7 @@
   }
   ZoneWaits.clear();
   IsZoneSilent = false;
+  IsZoneSuspect = false;
 }
 
 void ReachabilityGate::discardWaits() {
@@ -74,6 +75,7 @@
 // from other zones show that the fault is not in this instance's own path.
 void ReachabilityGate::updateZone(const Inputs &State, TimePoint Now) {
   ZoneWaits.expire(Now);
+  IsZoneSuspect = false;
   if (IsZoneSilent) {
     ZoneWaits.clear();
     // Without registered upstreams in the zone, only a new one is a reason to
@@ -87,8 +89,10 @@
   const Counts Needed{std::min(MinSilentInZone, State.KnownInZone.Upstreams),
                       std::min(MinServices, State.KnownInZone.Services)};
   if (State.KnownInZone.Upstreams < MinUpstreams ||
-      Now - LastAnswerFromOtherZone > MinZoneSilence ||
-      !ZoneWaits.isSilent(Needed, MinZoneSilence, Now))
+      Now - LastAnswerFromOtherZone > MinZoneSilence)
+    return;
+  IsZoneSuspect = ZoneWaits.isSilent({MinUpstreams, 1}, Duration(), Now);
+  if (!ZoneWaits.isSilent(Needed, MinZoneSilence, Now))
     return;
   IsZoneSilent = true;
   ZoneSilentSince = Now;
--- a/src/reachability_gate.h
+++ b/src/reachability_gate.h
@@ -54,6 +54,14 @@
   /// Whether the upstreams of the own zone are silent while others answer.
   bool isZoneSilent() const { return IsZoneSilent; }
 
+  /// Whether several upstreams of the own zone are late while none answers, so
+  /// that they should be checked. Checks decide what happens to open flows, so
+  /// this needs less evidence than isZoneSilent.
+  bool isZoneSuspect() const { return IsZoneSuspect; }
+
+  /// Whether an upstream of the own zone has to answer and none of them has.
+  bool isWaitingFor(UpstreamId Id) const { return ZoneWaits.isWaitingFor(Id); }
+
 private:
   void updateZone(const Inputs &State, TimePoint Now);
   static TimePoint nextTrial(TimePoint OutdatedAt, TimePoint Now);
@@ -64,6 +72,7 @@
   /// Not after the current time while upstreams are reachable.
   TimePoint UnreachableUntil{};
   bool IsZoneSilent = false;
+  bool IsZoneSuspect = false;
   TimePoint ZoneSilentSince{};
   TimePoint LastAnswerFromOtherZone{};
 };
--- a/src/reachability_tracker.cpp
+++ b/src/reachability_tracker.cpp
@@ -30,6 +30,8 @@
   HasRetransmission = false;
   HasOpenTimeout = false;
   DeadUntil = {};
+  AvoidedUntil = {};
+  LastUnansweredCheck = {};
   SuspectUntil = {};
   Backoff = {};
 }
@@ -56,10 +58,11 @@
 }
 
 bool ReachabilityTracker::startCheckIfDue(TimePoint Now) {
-  if ((!HasRetransmission && !HasOpenTimeout) ||
+  if ((!HasRetransmission && !HasOpenTimeout && !IsCheckRequested) ||
       Now - LastCheck < MinCheckInterval)
     return false;
   LastCheck = Now;
+  IsCheckRequested = false;
   return true;
 }
 
@@ -67,15 +70,42 @@
 // address may belong to an upstream of another service, which ignores the
 // packets of this one's flows. It only ends the reasons for a check and a
 // failed verdict.
-void ReachabilityTracker::recordCheckResult(bool IsAccepting, TimePoint Now) {
-  if (IsAccepting) {
+// A refusal is the word of the upstream's machine. The lack of an answer may
+// also come from a congested path or a full queue of connections, so a second
+// check or another instance has to confirm it.
+bool ReachabilityTracker::recordCheckResult(CheckResult Result, bool HasWitness,
+                                            TimePoint Now) {
+  if (Result == CheckResult::Accepted) {
     HasRetransmission = false;
     HasOpenTimeout = false;
+    LastUnansweredCheck = {};
     DeadUntil = {};
-  } else if (LastAnswer < LastCheck) {
-    // An answer since the start of the check outweighs its failure.
-    DeadUntil = Now + Opts->FailedCheckLifetime;
+    return false;
   }
+  // An answer since the start of the check outweighs its failure.
+  if (LastAnswer >= LastCheck)
+    return false;
+  const bool IsConfirmed = Result == CheckResult::Refused || HasWitness ||
+                           hasUnansweredCheck(Now) || isDead(Now);
+  if (Result == CheckResult::NoAnswer)
+    LastUnansweredCheck = Now;
+  if (IsConfirmed)
+    DeadUntil = Now + Opts->FailedCheckLifetime;
+  else
+    LastCheck = Now;
+  return !IsConfirmed;
+}
+
+void ReachabilityTracker::recordWitness(TimePoint Now) {
+  if (hasUnansweredCheck(Now))
+    DeadUntil = Now + Opts->FailedCheckLifetime;
+  else
+    requestCheck();
+}
+
+bool ReachabilityTracker::hasUnansweredCheck(TimePoint Now) const {
+  return LastUnansweredCheck != TimePoint() &&
+         Now - LastUnansweredCheck <= Opts->FailedCheckLifetime;
 }
 
 void ReachabilityTracker::recordOpening(TimePoint Now) {
--- a/src/reachability_tracker.h
+++ b/src/reachability_tracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "check_result.h"
 #include "policy_options.h"
 #include "types.h"
 
@@ -38,34 +39,53 @@
   void recordRetransmission(TimePoint Now);
 
   /// Returns whether to check the upstream now, and if so records the start of
-  /// the check. A check is due after a retransmission or a timed-out opening,
-  /// at most once a second.
+  /// the check. A check is due after a retransmission, a timed-out opening or
+  /// a request for it, at most once a second.
   bool startCheckIfDue(TimePoint Now);
 
-  /// Records whether a check found that the upstream accepts connections.
-  void recordCheckResult(bool IsAccepting, TimePoint Now);
+  /// Records what a check of this instance found. \p HasWitness: a check of
+  /// another instance failed as well since the upstream's last answer. Returns
+  /// whether the check has to be repeated at once, since nothing else confirms
+  /// its failure.
+  bool recordCheckResult(CheckResult Result, bool HasWitness, TimePoint Now);
 
-  /// Records that other instances found that the upstream has stopped.
-  void recordPeerVerdict(TimePoint Now) {
+  /// Records that the check of another instance failed. It confirms a failed
+  /// check of this instance, and else is a reason for one.
+  void recordWitness(TimePoint Now);
+
+  /// Records that other instances and the silence of the whole zone confirm
+  /// each other.
+  void recordSilence(TimePoint Now) {
     DeadUntil = Now + Opts->FailedCheckLifetime;
   }
 
+  /// Makes a check due even without silence of this upstream.
+  void requestCheck() { IsCheckRequested = true; }
+
+  /// Records that other instances found that the upstream has stopped: new
+  /// flows avoid it.
+  void recordPeerVerdict(TimePoint Now) {
+    AvoidedUntil = Now + Opts->FailedCheckLifetime;
+  }
+
   /// Whether new flows should go to other upstreams.
   bool isSuspect(TimePoint Now) const {
-    return hasOwnDoubts(Now) || isDead(Now);
+    return hasOwnDoubts(Now) || Now < AvoidedUntil || isDead(Now);
   }
 
   /// Whether openings of this instance were left unanswered.
   bool hasOwnDoubts(TimePoint Now) const;
 
-  /// Whether a check failed recently and the upstream has not answered since.
-  /// The upstream is then assumed to have stopped, and its open flows are
-  /// reset. A suspect upstream keeps its open flows, but new flows avoid it.
+  /// Whether checks of this instance found recently that the upstream has
+  /// stopped, and it has not answered since. Its open flows are then reset. A
+  /// suspect upstream keeps its open flows, but new flows avoid it.
   bool isDead(TimePoint Now) const { return Now < DeadUntil; }
 
   TimePoint lastAnswer() const { return LastAnswer; }
 
 private:
+  bool hasUnansweredCheck(TimePoint Now) const;
+
   const ReachabilityOptions *Opts;
   TimePoint LastAnswer{};
   TimePoint SuspectUntil{};
@@ -79,7 +99,15 @@
   /// Whether a client has retransmitted data since the last answer.
   bool HasRetransmission = false;
   bool HasOpenTimeout = false;
+  /// Whether a check was requested since the last one.
+  bool IsCheckRequested = false;
+  /// The start of the latest check.
   TimePoint LastCheck{};
+  /// When a check was left without an answer; not set if the upstream has
+  /// answered since.
+  TimePoint LastUnansweredCheck{};
+  /// Until when the word of other instances counts.
+  TimePoint AvoidedUntil{};
   TimePoint DeadUntil{};
 };
 
--- a/src/steered_flow_table.h
+++ b/src/steered_flow_table.h
@@ -32,6 +32,8 @@
   /// Whether this instance saw no opening packet, so that InitialSequence may
   /// be too high.
   bool IsAdopted = false;
+  /// Whether the flow was adopted with a request that may still be unanswered.
+  bool MayAwaitAnswer = false;
   /// Whether a packet named another upstream after the flow was open.
   bool HasTagConflict = false;
   /// Whether the client has retransmitted data that is not acknowledged yet.
--- a/src/unanswered_exchanges.h
+++ b/src/unanswered_exchanges.h
@@ -23,6 +23,9 @@
   /// Called when any upstream of the group has answered.
   void clear() { Waiting.clear(); }
 
+  /// Whether something sent to the upstream waits for an answer.
+  bool isWaitingFor(UpstreamId Id) const { return Waiting.count(Id) > 0; }
+
   /// Forgets upstreams to which nothing was sent for some seconds.
   void expire(TimePoint Now);
 
--- a/src/upstream_check.cpp
+++ b/src/upstream_check.cpp
@@ -1,6 +1,8 @@
 #include "upstream_check.h"
 
-#include <memory>
+#include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace indigopoint {
 
@@ -11,11 +13,20 @@
 
 } // namespace
 
+struct UpstreamCheck::PendingReference {
+  UpstreamId Id;
+  bool IsPending = true;
+  bool IsAccepting = false;
+  /// The checks that wait for it.
+  std::vector<std::shared_ptr<PendingCheck>> Waiting;
+};
+
 struct UpstreamCheck::PendingCheck {
   UpstreamId Id;
-  int PendingConnections = 0;
-  bool IsSuspectAccepting = false;
-  bool IsReferenceAccepting = false;
+  int PendingConnections = 2;
+  CheckResult Result = CheckResult::NoAnswer;
+  /// Null if the check needs none.
+  std::shared_ptr<PendingReference> Reference;
 };
 
 // Connects to the suspect twice, so that one lost packet does not fail the
@@ -23,30 +34,49 @@
 void UpstreamCheck::start(const Upstream &Suspect, const Upstream &Reference) {
   auto Check = std::make_shared<PendingCheck>();
   Check->Id = Suspect.Registration.Id;
-  Check->IsReferenceAccepting = !UseReference;
-  Check->PendingConnections = UseReference ? 3 : 2;
-  const auto OnSuspectResult = [this, Check](bool IsAccepting) {
-    Check->IsSuspectAccepting |= IsAccepting;
-    onConnectionResult(*Check);
-  };
-  ConnectionCheck.start(Suspect.Registration.Address, CheckTimeout,
-                        OnSuspectResult);
-  ConnectionCheck.start(Suspect.Registration.Address, CheckTimeout,
-                        OnSuspectResult);
-  if (!UseReference)
-    return;
-  ConnectionCheck.start(Reference.Registration.Address, CheckTimeout,
-                        [this, Check](bool IsAccepting) {
-                          Check->IsReferenceAccepting = IsAccepting;
-                          onConnectionResult(*Check);
-                        });
+  if (UseReference) {
+    Check->Reference = connectTo(Reference, Check->Id);
+    Check->Reference->Waiting.push_back(Check);
+  }
+  ++PendingChecks;
+  for (int Attempt = 0; Attempt < Check->PendingConnections; ++Attempt)
+    ConnectionCheck.start(Suspect.Registration.Address, CheckTimeout,
+                          [this, Check](CheckResult Result) {
+                            // An accepted connection outweighs a refused one,
+                            // and each of them the lack of an answer.
+                            Check->Result = std::min(Check->Result, Result);
+                            --Check->PendingConnections;
+                            finishIfComplete(*Check);
+                          });
+}
+
+std::shared_ptr<UpstreamCheck::PendingReference>
+UpstreamCheck::connectTo(const Upstream &Reference, UpstreamId Suspect) {
+  if (LatestReference != nullptr && LatestReference->IsPending &&
+      LatestReference->Id != Suspect)
+    return LatestReference;
+  LatestReference = std::make_shared<PendingReference>();
+  LatestReference->Id = Reference.Registration.Id;
+  ConnectionCheck.start(
+      Reference.Registration.Address, CheckTimeout,
+      [this, Connected = LatestReference](CheckResult Result) {
+        Connected->IsPending = false;
+        Connected->IsAccepting = Result == CheckResult::Accepted;
+        for (const auto &Check : std::exchange(Connected->Waiting, {}))
+          finishIfComplete(*Check);
+      });
+  return LatestReference;
 }
 
-void UpstreamCheck::onConnectionResult(PendingCheck &Check) {
-  if (--Check.PendingConnections > 0)
+void UpstreamCheck::finishIfComplete(PendingCheck &Check) {
+  const PendingReference *Reference = Check.Reference.get();
+  if (Check.PendingConnections > 0 ||
+      (Reference != nullptr && Reference->IsPending))
     return;
-  if (Check.IsSuspectAccepting || Check.IsReferenceAccepting)
-    OnResult(Check.Id, Check.IsSuspectAccepting);
+  --PendingChecks;
+  if (Check.Result == CheckResult::Accepted || Reference == nullptr ||
+      Reference->IsAccepting)
+    OnResult(Check.Id, Check.Result);
 }
 
 } // namespace indigopoint
--- a/src/upstream_check.h
+++ b/src/upstream_check.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 
 #include "connect_check.h"
 #include "upstream_registry.h"
@@ -11,26 +12,36 @@
 /// reference upstream that answered recently.
 class UpstreamCheck {
 public:
-  using ResultHook = std::function<void(UpstreamId, bool IsAccepting)>;
+  using ResultHook = std::function<void(UpstreamId, CheckResult)>;
 
   /// Without \p UseReference, a failed connection alone fails the check.
   UpstreamCheck(EventLoop &Loop, bool UseReference, ResultHook OnResult)
       : ConnectionCheck(Loop), UseReference(UseReference),
         OnResult(std::move(OnResult)) {}
 
-  /// Starts to connect to \p Suspect and \p Reference. The hook is not called
+  /// Starts to connect to \p Suspect and \p Reference. Checks that start while
+  /// the connection to a reference is pending share it. The hook is not called
   /// if both fail, since the fault is then more likely on this instance's side,
   /// such as a saturated link.
   void start(const Upstream &Suspect, const Upstream &Reference);
 
+  /// Whether a check has started whose result is not known yet.
+  bool isPending() const { return PendingChecks > 0; }
+
 private:
+  struct PendingReference;
   struct PendingCheck;
 
-  void onConnectionResult(PendingCheck &Check);
+  std::shared_ptr<PendingReference> connectTo(const Upstream &Reference,
+                                              UpstreamId Suspect);
+  void finishIfComplete(PendingCheck &Check);
 
   ConnectCheck ConnectionCheck;
   bool UseReference;
   ResultHook OnResult;
+  size_t PendingChecks = 0;
+  /// The reference of the latest check.
+  std::shared_ptr<PendingReference> LatestReference;
 };
 
 } // namespace indigopoint
--- a/tests/steering_log_test.cpp
+++ b/tests/steering_log_test.cpp
@@ -40,10 +40,15 @@
   }
 
   SteeringDecision runUpstreamGoneCase() {
+    configure(2, {{"chat", ChatAddress, {{"chat", 1}}, false},
+                  {"photos", PhotoAddress, {{"photos", 1}}, false}});
     const uint64_t Id = open(1);
     Upstreams.remove(UpstreamId(Id), TimeSource.now());
     TimeSource.advance(3s);
     Upstreams.recordStoreSync(TimeSource.now());
+    open(2, PhotoAddress);
+    Steering.steer(data(1, Id, 500));
+    Steering.recordCheckResult(UpstreamId(Id), CheckResult::Refused);
     return steer(data(1, Id, 500));
   }
 
