Read what arrived in time before an HTTP call times out

Cause: libevent ends a connection whose read timeout has passed before it reads the data that arrived meanwhile, and the call's own timer gave up after one turn of the loop, in which 16 KB are read. A process that was stalled for longer than the idle timeout reported its own stall as a failure of the store ("store-lost", result failed) or of a peer, which it then avoided for 5 s, although the answer had come.

Change: the client judges silence itself. ConnectionProgress tells when bytes were last transferred and what the loop has not handled yet: unread bytes, the end, an established connection. The idle timeout waits until nothing of this is left. The total timeout waits until the bytes that had arrived when it passed are read; what arrives later does not prolong it. Both stay as they are for a silent connection.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <cctype>
 #include <list>
+#include <optional>
 #include <utility>
 
 #include <event2/buffer.h>
@@ -10,7 +11,9 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
+#include "connection_progress.h"
 #include "event_loop.h"
+#include "steady_clock.h"
 
 namespace indigopoint {
 
@@ -20,6 +23,14 @@
 // response fails.
 constexpr ev_ssize_t MaxBodyBytes = ev_ssize_t{8} * 1024 * 1024;
 
+// Turns of the loop in which a response of MaxBodyBytes is read, with a
+// reserve.
+constexpr uint32_t MaxTurnsToRead = 1024;
+
+// libevent ends a connection whose timeout has passed before it reads what
+// arrived meanwhile, so its own timeout never passes.
+constexpr int LibraryTimeoutSeconds = 24 * 60 * 60;
+
 evhttp_cmd_type commandOf(const std::string &Method) {
   if (Method == "POST")
     return EVHTTP_REQ_POST;
@@ -60,7 +71,13 @@
     Impl *Owner = nullptr;
     std::list<PendingCall>::iterator Position;
     evhttp_connection *Connection = nullptr;
+    std::optional<ConnectionProgress> Progress;
+    Duration IdleTimeout{};
+    LoopEvent IdleTimer;
     LoopEvent TimeoutTimer;
+    /// The bytes that had arrived when the call timed out.
+    uint64_t BytesInTime = 0;
+    uint32_t TurnsAfterTimeout = 0;
     ResultHook OnResult;
     HttpResult Result;
     bool IsFinished = false;
@@ -70,6 +87,10 @@
   explicit Impl(EventLoop &Loop) : Loop(Loop) {}
 
   void start(PendingCall &Call, const HttpCall &Parameters);
+  void setIdleTimer(PendingCall &Call, Duration Delay);
+  void onIdleTimer(PendingCall &Call);
+  void setTimeoutTimer(PendingCall &Call, Duration Delay);
+  void onTimeoutTimer(PendingCall &Call);
   void finish(PendingCall &Call, HttpResult Result);
   void report();
 
@@ -106,10 +127,11 @@
   }
   evhttp_request_set_error_cb(Request, onError);
   evhttp_connection_set_max_body_size(Call.Connection, MaxBodyBytes);
-  if (Parameters.IdleTimeout > Duration()) {
-    const timeval IdleTimeout = toTimeval(Parameters.IdleTimeout);
-    evhttp_connection_set_timeout_tv(Call.Connection, &IdleTimeout);
-  }
+  evhttp_connection_set_timeout(Call.Connection, LibraryTimeoutSeconds);
+  Call.Progress.emplace(evhttp_connection_get_bufferevent(Call.Connection));
+  Call.IdleTimeout = Parameters.IdleTimeout;
+  if (Call.IdleTimeout > Duration())
+    setIdleTimer(Call, Call.IdleTimeout);
   evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
   evhttp_add_header(Headers, "Host", HostAndPort.c_str());
   evhttp_add_header(Headers, "Connection", "close");
@@ -122,6 +144,47 @@
     finish(Call, {});
 }
 
+void HttpClient::Impl::setIdleTimer(PendingCall &Call, Duration Delay) {
+  Call.IdleTimer =
+      LoopEvent::after(Loop, Delay, [this, &Call] { onIdleTimer(Call); });
+}
+
+// A process that was stalled has not seen yet what arrived meanwhile. It judges
+// the peer's silence when there is nothing left to handle.
+void HttpClient::Impl::onIdleTimer(PendingCall &Call) {
+  if (Call.IsFinished)
+    return;
+  const Duration Silence = SteadyClock().now() - Call.Progress->lastTransfer();
+  if (Silence < Call.IdleTimeout)
+    setIdleTimer(Call, Call.IdleTimeout - Silence);
+  else if (Call.Progress->isReady())
+    setIdleTimer(Call, Duration());
+  else
+    finish(Call, {});
+}
+
+void HttpClient::Impl::setTimeoutTimer(PendingCall &Call, Duration Delay) {
+  Call.TimeoutTimer =
+      LoopEvent::after(Loop, Delay, [this, &Call] { onTimeoutTimer(Call); });
+}
+
+// What had arrived when the time was over still counts, what arrives later does
+// not: otherwise a peer that sends for ever would prolong the call.
+void HttpClient::Impl::onTimeoutTimer(PendingCall &Call) {
+  if (Call.IsFinished)
+    return;
+  const ConnectionProgress &Progress = *Call.Progress;
+  const bool IsFirstTurn = Call.TurnsAfterTimeout++ == 0;
+  if (IsFirstTurn)
+    Call.BytesInTime = Progress.bytesRead() + Progress.unreadBytes();
+  const bool IsUnread =
+      Progress.bytesRead() < Call.BytesInTime || Progress.hasUnreportedEnd();
+  if (IsFirstTurn || (IsUnread && Call.TurnsAfterTimeout < MaxTurnsToRead))
+    setTimeoutTimer(Call, Duration());
+  else
+    finish(Call, {});
+}
+
 // libevent may still use the connection when it reports a response, so a later
 // iteration of the loop calls the hook and frees the connection.
 void HttpClient::Impl::finish(PendingCall &Call, HttpResult Result) {
@@ -150,9 +213,7 @@
   NewCall.Owner = PImpl.get();
   NewCall.Position = std::prev(PImpl->Calls.end());
   NewCall.OnResult = std::move(OnResult);
-  NewCall.TimeoutTimer = LoopEvent::after(
-      PImpl->Loop, Call.Timeout,
-      [Owner = PImpl.get(), &NewCall] { Owner->finish(NewCall, {}); });
+  PImpl->setTimeoutTimer(NewCall, Call.Timeout);
   PImpl->start(NewCall, Call);
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -22,7 +22,8 @@
   /// Covers the whole call, including connecting.
   Duration Timeout = std::chrono::seconds(2);
   /// The call also fails when no byte was transferred for this time. 0 means
-  /// that only \c Timeout applies.
+  /// that only \c Timeout applies. What arrived in time counts for both, even
+  /// if the process was stalled and reads it later.
   Duration IdleTimeout{};
 };
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,7 +1,9 @@
 #include "http_client.h"
 #include "http_server.h"
 
+#include <initializer_list>
 #include <optional>
+#include <thread>
 
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -13,6 +15,8 @@
 namespace indigopoint {
 namespace {
 
+using namespace std::chrono_literals;
+
 class HttpTest : public testing::Test {
 protected:
   void SetUp() override { ASSERT_FALSE(Server.open(AnyPort)); }
@@ -28,10 +32,10 @@
     return Response.value_or(HttpResult());
   }
 
-  HttpResult callWithIdleTimeout(Endpoint To, Duration IdleTimeout) {
+  HttpResult callPeer(Endpoint To, Duration Timeout, Duration IdleTimeout) {
     std::optional<HttpResult> Response;
     HttpClient Client(Loop);
-    Client.call({To, "GET", "/", "", std::chrono::seconds(30), IdleTimeout},
+    Client.call({To, "GET", "/", "", Timeout, IdleTimeout},
                 [&](HttpResult Result) { Response = std::move(Result); });
     EXPECT_TRUE(runUntil(Loop, [&] { return Response.has_value(); }));
     return Response.value_or(HttpResult());
@@ -119,20 +123,19 @@
   PendingResponse({200, "late"});
 }
 
-// A peer that accepts connections and answers byte by byte.
-class SlowResponder {
+// A peer with one connection, which it serves only when the test says so, also
+// while the loop of the client does not run.
+class ManualPeer {
 public:
-  SlowResponder(EventLoop &Loop, Duration Pause, std::string Response)
-      : Response(std::move(Response)) {
+  ManualPeer() {
     const sockaddr_in Any = toSocketAddress(AnyPort);
     EXPECT_EQ(
         bind(Listener, reinterpret_cast<const sockaddr *>(&Any), sizeof(Any)),
         0);
     EXPECT_EQ(listen(Listener, 1), 0);
-    Timer = LoopEvent::every(Loop, Pause, [this] { sendNextByte(); });
   }
 
-  ~SlowResponder() {
+  ~ManualPeer() {
     close(Connection);
     close(Listener);
   }
@@ -144,19 +147,49 @@
     return toEndpoint(Own);
   }
 
-private:
-  void sendNextByte() {
+  bool accept() {
     if (Connection < 0)
       Connection = accept4(Listener, nullptr, nullptr, SOCK_NONBLOCK);
-    if (Connection >= 0 && Sent < Response.size())
-      Sent += std::max<ssize_t>(
-          0, send(Connection, &Response[Sent], 1, MSG_NOSIGNAL));
+    return Connection >= 0;
   }
 
-  std::string Response;
-  size_t Sent = 0;
+  bool hasReceivedRequest() {
+    char Byte = 0;
+    return accept() && recv(Connection, &Byte, 1, MSG_PEEK) > 0;
+  }
+
+  /// Returns the number of bytes that were sent.
+  size_t send(std::string_view Bytes) const {
+    return std::max<ssize_t>(
+        0, ::send(Connection, Bytes.data(), Bytes.size(), MSG_NOSIGNAL));
+  }
+
+  void endResponse() const { shutdown(Connection, SHUT_WR); }
+
+private:
   int Listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
   int Connection = -1;
+};
+
+// A peer that accepts connections and answers byte by byte.
+class SlowResponder {
+public:
+  SlowResponder(EventLoop &Loop, Duration Pause, std::string Response)
+      : Response(std::move(Response)) {
+    Timer = LoopEvent::every(Loop, Pause, [this] { sendNextByte(); });
+  }
+
+  Endpoint address() const { return Peer.address(); }
+
+private:
+  void sendNextByte() {
+    if (Peer.accept() && Sent < Response.size())
+      Sent += Peer.send(std::string_view(Response).substr(Sent, 1));
+  }
+
+  std::string Response;
+  size_t Sent = 0;
+  ManualPeer Peer;
   LoopEvent Timer;
 };
 
@@ -164,19 +197,85 @@
 TEST_F(HttpTest, IdleTimeoutDoesNotEndACallWithProgress) {
   SlowResponder Responder(Loop, std::chrono::milliseconds(10),
                           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-  EXPECT_EQ(
-      callWithIdleTimeout(Responder.address(), std::chrono::milliseconds(200))
-          .Body,
-      "ok");
+  EXPECT_EQ(callPeer(Responder.address(), 30s, 200ms).Body, "ok");
 }
 
 TEST_F(HttpTest, IdleTimeoutEndsACallThatStalls) {
   SlowResponder Responder(Loop, std::chrono::milliseconds(10),
                           "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok");
-  EXPECT_EQ(
-      callWithIdleTimeout(Responder.address(), std::chrono::milliseconds(200))
-          .Status,
-      0);
+  EXPECT_EQ(callPeer(Responder.address(), 30s, 200ms).Status, 0);
+}
+
+// Guards against a call that goes on for as long as bytes arrive.
+TEST_F(HttpTest, TimeoutEndsACallWithProgress) {
+  SlowResponder Responder(Loop, 10ms,
+                          "HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n" +
+                              std::string(200, 'x'));
+  const TimePoint Start = SteadyClock().now();
+  EXPECT_EQ(callPeer(Responder.address(), 100ms, 0ms).Status, 0);
+  EXPECT_LT(SteadyClock().now() - Start, 1s);
+}
+
+// Guards against a process that takes the store or a peer for unreachable after
+// it was stalled itself, although the answer had arrived in time.
+TEST_F(HttpTest, ResponseThatArrivedInTimeIsReadAfterAStall) {
+  constexpr Duration ShortTimeout = 100ms;
+  constexpr Duration LongTimeout = 30s;
+  const std::string SmallResponse =
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  // Larger than what one turn of the loop reads.
+  const std::string LargeBody(40'000, 'x');
+  const std::string LargeResponse =
+      "HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + LargeBody;
+  const std::string ResponseUntilEnd = "HTTP/1.1 200 OK\r\n\r\n" + LargeBody;
+  const std::string NoResponse;
+  struct Case {
+    std::string_view Name;
+    const std::string &Response;
+    Duration Timeout;
+    Duration IdleTimeout;
+    size_t BodyBytes;
+  };
+  for (const Case &Expected : std::initializer_list<Case>{
+           {"small, idle", SmallResponse, LongTimeout, ShortTimeout, 2},
+           {"large, idle", LargeResponse, LongTimeout, ShortTimeout, 40'000},
+           {"to the end, idle", ResponseUntilEnd, LongTimeout, ShortTimeout,
+            40'000},
+           {"none, idle", NoResponse, LongTimeout, ShortTimeout, 0},
+           {"small, total", SmallResponse, ShortTimeout, 0ms, 2},
+           {"large, total", LargeResponse, ShortTimeout, 0ms, 40'000},
+           {"to the end, total", ResponseUntilEnd, ShortTimeout, 0ms, 40'000},
+           {"none, total", NoResponse, ShortTimeout, 0ms, 0}}) {
+    SCOPED_TRACE(Expected.Name);
+    ManualPeer Peer;
+    std::optional<HttpResult> Response;
+    HttpClient Client(Loop);
+    Client.call({Peer.address(), "GET", "/", "", Expected.Timeout,
+                 Expected.IdleTimeout},
+                [&](HttpResult Result) { Response = std::move(Result); });
+    ASSERT_TRUE(runUntil(Loop, [&] { return Peer.hasReceivedRequest(); }));
+    ASSERT_EQ(Peer.send(Expected.Response), Expected.Response.size());
+    if (!Expected.Response.empty())
+      Peer.endResponse();
+    std::this_thread::sleep_for(2 * ShortTimeout);
+    ASSERT_TRUE(runUntil(Loop, [&] { return Response.has_value(); }));
+    EXPECT_EQ(Response->Body.size(), Expected.BodyBytes);
+  }
+}
+
+// The same for a connection that was established while the process was stalled.
+TEST_F(HttpTest, ConnectionEstablishedInTimeIsUsedAfterAStall) {
+  ManualPeer Peer;
+  std::optional<HttpResult> Response;
+  HttpClient Client(Loop);
+  Client.call({Peer.address(), "GET", "/", "", 30s, 100ms},
+              [&](HttpResult Result) { Response = std::move(Result); });
+  std::this_thread::sleep_for(200ms);
+  ASSERT_TRUE(runUntil(
+      Loop, [&] { return Response.has_value() || Peer.hasReceivedRequest(); }));
+  Peer.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  ASSERT_TRUE(runUntil(Loop, [&] { return Response.has_value(); }));
+  EXPECT_EQ(Response->Body, "ok");
 }
 
 TEST_F(HttpTest, RefusedConnectionGivesStatusZero) {
