Go by the present time when a peer is answered

Cause: PeerExchange answered requests, at once and after their wait, by the time of the last event that refreshed the clock. After a pause of the process the age of its data was too small by the pause, so the asking instance took old data for confirmed data.

Change: PeerExchange has the clock of the events and refreshes it at each event of its own: a request, the end of a wait, an answer.

Result: PeerExchangeTest.AgeCountsUntilTheAnswer without the three refreshes: ages of 0 where 100 and 200 ms had passed; with them the test passes.

--- a/src/peer_exchange.cpp
+++ b/src/peer_exchange.cpp
@@ -18,9 +18,10 @@
 
 PeerExchange::PeerExchange(EventLoop &Loop, HttpClient &Http, PeerInfo Self,
                            PeerTable &Peers, const StoreMirror &Mirror,
-                           Hooks StateHooks)
+                           EventClock &TimeSource, Hooks StateHooks)
     : Loop(Loop), Http(Http), Server(Loop), Self(std::move(Self)), Peers(Peers),
-      Mirror(Mirror), StateHooks(std::move(StateHooks)) {}
+      Mirror(Mirror), TimeSource(TimeSource),
+      StateHooks(std::move(StateHooks)) {}
 
 std::error_code PeerExchange::open() {
   if (Self.Address.Port == 0)
@@ -35,6 +36,7 @@
 
 void PeerExchange::onRequest(const HttpRequest &Call,
                              const HttpServer::Respond &Respond) {
+  TimeSource.refresh();
   const auto Request = decodePeerRequest(Call.Query);
   if (!Request) {
     Respond(
@@ -62,6 +64,7 @@
   PendingRequests.push_front({*Request, Respond, {}});
   PendingRequests.front().TimeoutTimer = LoopEvent::after(
       Loop, Request->Wait, [this, It = PendingRequests.begin()] {
+        TimeSource.refresh();
         const PendingRequest ExpiredRequest = std::move(*It);
         PendingRequests.erase(It);
         answer(ExpiredRequest.Request, ExpiredRequest.Respond);
@@ -127,6 +130,7 @@
 
 void PeerExchange::onAnswer(Endpoint Peer, const HttpResult &Result,
                             const AnswerHook &OnAnswer) {
+  TimeSource.refresh();
   const auto Answer =
       Result.Status == 200 ? decodePeerAnswer(Result.Body) : std::nullopt;
   if (!Answer) {
--- a/src/peer_exchange.h
+++ b/src/peer_exchange.h
@@ -9,6 +9,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "peer_codec.h"
+#include "steady_clock.h"
 #include "store_mirror.h"
 
 namespace indigopoint {
@@ -27,7 +28,8 @@
   };
 
   PeerExchange(EventLoop &Loop, HttpClient &Http, PeerInfo Self,
-               PeerTable &Peers, const StoreMirror &Mirror, Hooks StateHooks);
+               PeerTable &Peers, const StoreMirror &Mirror,
+               EventClock &TimeSource, Hooks StateHooks);
 
   /// Listens for requests of peers. Does nothing if the own address has port 0.
   std::error_code open();
@@ -76,6 +78,7 @@
   PeerInfo Self;
   PeerTable &Peers;
   const StoreMirror &Mirror;
+  EventClock &TimeSource;
   Hooks StateHooks;
   std::list<PendingRequest> PendingRequests;
   /// Changes up to CachedPosition. The key is the position that the peer has.
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -83,7 +83,7 @@
                Settings.Policy.StoreSharing},
               TimeSource, Peers),
       Mirror(this->StateHooks.Supersedes),
-      Exchange(Loop, Http, ownPeerInfo(Settings), Peers, Mirror,
+      Exchange(Loop, Http, ownPeerInfo(Settings), Peers, Mirror, TimeSource,
                {[this] { return dataAge(); },
                 [this] { return this->StateHooks.Configuration(); }}) {}
 
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -1,6 +1,8 @@
 #include "peer_exchange.h"
 
+#include <optional>
 #include <random>
+#include <thread>
 
 #include <gtest/gtest.h>
 
@@ -19,10 +21,16 @@
   struct Instance {
     explicit Instance(EventLoop &Loop, Endpoint Address)
         : Peers({Address, "a", 0s, 100}, {}, TimeSource, Random), Http(Loop),
-          Exchange(Loop, Http, {Address, "a", 0s, 100}, Peers, Mirror,
-                   {[] { return 700ms; }, [this] { return Configuration; }}) {}
+          Exchange(
+              Loop, Http, {Address, "a", 0s, 100}, Peers, Mirror, EventTime,
+              {[this] {
+                 return ConfirmedAt ? EventTime.now() - *ConfirmedAt : 700ms;
+               },
+               [this] { return Configuration; }}) {}
 
     ManualClock TimeSource;
+    EventClock EventTime;
+    std::optional<TimePoint> ConfirmedAt;
     RandomSource Random{1};
     PeerTable Peers;
     HttpClient Http;
@@ -159,6 +167,20 @@
   EXPECT_TRUE(Result.Items.empty());
 }
 
+// Guards against data that seems newer than it is, because the instance that
+// sends it was paused and goes by the time before its pause.
+TEST_F(PeerExchangeTest, AgeCountsUntilTheAnswer) {
+  constexpr Duration Pause = 100ms;
+  constexpr Duration TimerSlack = 10ms;
+  Server.Mirror.apply({StoreSync::Update::Content::Snapshot, {}}, {0, 9});
+  for (const Duration Wait : {0ms, 100ms}) {
+    Server.ConfirmedAt = SteadyClock().now();
+    std::this_thread::sleep_for(Pause);
+    EXPECT_GE(ask(9, Wait).Age, Pause + Wait - TimerSlack)
+        << millisecondsOf(Wait);
+  }
+}
+
 std::string encode(const PeerAnswer &Answer) {
   return encodePeerAnswer(Answer, packItems(Answer.Changes.Items));
 }
