Count the age of an answer from its arrival

Cause: an answer of the store or of a peer was taken as confirmed at the moment in which it was read. After a stall of the process this is later than its arrival by the stall, and since the client reads what arrived before it times out, the stall can be long. Old data of the store then counted as new: for the age that peers are told, for upstreams that are presumed stopped, for the check after a pause.

Change: ConnectionProgress asks the kernel when the last bytes arrived (TCP_INFO), no earlier than the request was sent; HttpResult::ArrivedAt carries it, and the age of an answer of the store or of a peer counts from it.

--- a/src/connection_progress.cpp
+++ b/src/connection_progress.cpp
@@ -1,16 +1,22 @@
 #include "connection_progress.h"
 
+#include <algorithm>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include "steady_clock.h"
 
 namespace indigopoint {
 
 ConnectionProgress::ConnectionProgress(bufferevent *Connection)
-    : Connection(Connection), LastTransfer(SteadyClock().now()) {
+    : Connection(Connection), LastTransfer(SteadyClock().now()),
+      LastOutput(LastTransfer), LastArrival(LastTransfer) {
   evbuffer_add_cb(bufferevent_get_input(Connection), onInput, this);
   evbuffer_add_cb(bufferevent_get_output(Connection), onOutput, this);
 }
@@ -22,13 +28,18 @@
     return;
   Progress.BytesRead += Change->n_added;
   Progress.LastTransfer = SteadyClock().now();
+  // The kernel counts in ticks, but an answer does not arrive before its
+  // request was sent.
+  Progress.LastArrival = std::max(
+      Progress.LastOutput, Progress.LastTransfer - Progress.timeSinceArrival());
 }
 
 void ConnectionProgress::onOutput(evbuffer *, const evbuffer_cb_info *,
                                   void *Context) {
   auto &Progress = *static_cast<ConnectionProgress *>(Context);
   Progress.HasOutput = true;
-  Progress.LastTransfer = SteadyClock().now();
+  Progress.LastOutput = SteadyClock().now();
+  Progress.LastTransfer = Progress.LastOutput;
 }
 
 uint64_t ConnectionProgress::unreadBytes() const {
@@ -55,4 +66,12 @@
   return ::poll(&Socket, 1, 0) > 0;
 }
 
+Duration ConnectionProgress::timeSinceArrival() const {
+  tcp_info Information{};
+  socklen_t Size = sizeof(Information);
+  getsockopt(bufferevent_getfd(Connection), IPPROTO_TCP, TCP_INFO, &Information,
+             &Size);
+  return std::chrono::milliseconds(Information.tcpi_last_data_recv);
+}
+
 } // namespace indigopoint
--- a/src/connection_progress.h
+++ b/src/connection_progress.h
@@ -23,6 +23,10 @@
   /// Returns when bytes were last read or written.
   TimePoint lastTransfer() const { return LastTransfer; }
 
+  /// Returns when the last of the read bytes arrived, which may be long before
+  /// they were read.
+  TimePoint lastArrival() const { return LastArrival; }
+
   uint64_t bytesRead() const { return BytesRead; }
 
   /// Returns the number of bytes that arrived and were not read.
@@ -41,9 +45,13 @@
   static void onOutput(evbuffer *, const evbuffer_cb_info *, void *Context);
   /// Returns whether poll reports one of \p Events, or an error.
   bool poll(short Events) const;
+  /// Returns how long ago the last bytes arrived.
+  Duration timeSinceArrival() const;
 
   bufferevent *Connection;
   TimePoint LastTransfer;
+  TimePoint LastOutput;
+  TimePoint LastArrival;
   uint64_t BytesRead = 0;
   /// Nothing is written to a connection before it is established.
   bool HasOutput = false;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -98,6 +98,7 @@
     auto &Call = *static_cast<PendingCall *>(Context);
     HttpResult Result = resultOf(Response);
     Result.IsTooLarge = Call.IsTooLarge;
+    Result.ArrivedAt = Call.Progress->lastArrival();
     Call.Owner->finish(Call, std::move(Result));
   }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -36,6 +36,9 @@
   /// Whether the call failed because the response was larger than the client
   /// accepts. The same call would fail again.
   bool IsTooLarge = false;
+  /// When the last bytes arrived, by SteadyClock. A stalled process reads them
+  /// later.
+  TimePoint ArrivedAt{};
 };
 
 /// Makes HTTP calls on an event loop. Hooks are called from the loop, never
--- a/src/peer_exchange.cpp
+++ b/src/peer_exchange.cpp
@@ -131,7 +131,7 @@
 void PeerExchange::onAnswer(Endpoint Peer, const HttpResult &Result,
                             const AnswerHook &OnAnswer) {
   TimeSource.refresh();
-  const auto Answer =
+  auto Answer =
       Result.Status == 200 ? decodePeerAnswer(Result.Body) : std::nullopt;
   if (!Answer) {
     Peers.recordFailure(Peer);
@@ -140,6 +140,7 @@
   }
   for (const PeerInfo &Entry : Answer->Peers)
     Peers.update(Entry);
+  Answer->Changes.Age += TimeSource.now() - Result.ArrivedAt;
   OnAnswer(Answer->Changes);
 }
 
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -117,7 +117,10 @@
   Call.Timeout = Query.Timeout;
   Http.call(Call,
             [this, Query, CallNumber = ++LastCall](const HttpResult &Answer) {
-              onResult(Query, CallNumber, Protocol.DecodeResult(Query, Answer));
+              StoreResult Result = Protocol.DecodeResult(Query, Answer);
+              TimeSource.refresh();
+              Result.Age = TimeSource.now() - Answer.ArrivedAt;
+              onResult(Query, CallNumber, std::move(Result));
             });
 }
 
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -108,7 +108,7 @@
     restartSnapshot();
     return std::nullopt;
   }
-  ConfirmedAt = TimeSource.now();
+  ConfirmedAt = std::max(ConfirmedAt, TimeSource.now() - Result.Age);
   return NeedsSnapshot ? onPage(Result) : onChanges(Result);
 }
 
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -86,7 +86,8 @@
   bool MorePages = false;
   /// Whether a peer sent all items of the store (a snapshot), not only changes.
   bool Complete = false;
-  /// Time since the store last confirmed the peer's data.
+  /// Time since the store confirmed the data, to this instance or to the peer
+  /// that sent them.
   Duration Age{};
   /// Items that a peer keeps in force although the restored store has older
   /// ones.
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -1,11 +1,13 @@
 #include "store_follower.h"
 
+#include <optional>
 #include <thread>
 
 #include <gtest/gtest.h>
 
 #include "http_server.h"
 #include "loop_test_support.h"
+#include "manual_peer.h"
 
 namespace indigopoint {
 namespace {
@@ -77,5 +79,27 @@
     EXPECT_LT(Calls[Index] - Calls[Index - 1], 700ms) << Index;
 }
 
+// Guards against data that seems newer by the time for which the answer waited
+// for a stalled process.
+TEST_F(StoreFollowerTest, AgeCountsFromTheArrivalOfTheAnswer) {
+  constexpr Duration Stall = 200ms;
+  ManualPeer Peer;
+  Settings.Store = Peer.address();
+  std::optional<Duration> Age;
+  std::optional<StoreFollower> Follower;
+  Follower.emplace(
+      Loop, Settings, protocol(), TimeSource, Log,
+      StoreFollower::Hooks{
+          [&](const StoreSync::Update &) { Age = Follower->dataAge(); },
+          [] { return ConfigVersion(); },
+          [](const StoreItem &, const StoreItem *) { return false; }});
+  ASSERT_EQ(Follower->start(), "");
+  ASSERT_TRUE(runUntil(Loop, [&] { return Peer.hasReceivedRequest(); }));
+  Peer.send(okResponse(""));
+  std::this_thread::sleep_for(Stall);
+  ASSERT_TRUE(runUntil(Loop, [&] { return Age.has_value(); }));
+  EXPECT_GE(*Age, Stall - ClockTick);
+}
+
 } // namespace
 } // namespace indigopoint
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -222,6 +222,19 @@
   EXPECT_EQ(Sync.position().Revision, 10U);
 }
 
+// Guards against an answer that the process reads late, after a stall, and
+// takes for the present state of the store.
+TEST_F(StoreSyncTest, AgeOfStoreAnswerIsUsed) {
+  readSnapshot();
+  TimeSource.advance(2s);
+  ASSERT_TRUE(startCallIfDue());
+  TimeSource.advance(3s);
+  StoreResult Result = makeAnswer(11, {item("a", 11)});
+  Result.Age = 2s;
+  Sync.onResult(Result);
+  EXPECT_EQ(TimeSource.now() - Sync.confirmedAt(), 2s);
+}
+
 // Guards against data that seems newer after it was forwarded: its age counts
 // from the confirmation by the store.
 TEST_F(StoreSyncTest, AgeOfPeerAnswerIsUsed) {
