Let the store's answer end what a restoration put off

Cause: missing upstreams, missing evacuations and held registrations of a restored store were judged by the local clock. The first maintenance after a pause, or one during an outage of the store, dropped upstreams and evacuations that had been written again meanwhile, and used registrations that the store had removed.

Change: applyDue goes by the time at which the store last confirmed the data (UpstreamRegistry::lastStoreSync, which the forwarder records before). The deferred configuration still goes by the clock: a watch of up to 3.5 s would take it beyond the bound for changes (ConfigApplyMs 3 s). That it is not applied in the first maintenance after a pause is left to the caller of applyDue.

The fixtures of the tests now let the store answer in the time that passes, and record it as the forwarder does; with this alone, before the change, all earlier checks of the two suites held. In SnapshotPagesOfTwoErasAreNotMixed the starting instance passed 3 s without an answer and was expected to drop an upstream, which is the fault itself; it now asks the store after them, and its expectations are as before.

Result: before, LostRegistrationStaysWhileTheStoreIsNotHeard, RegistrationOutlastsItsLifetimeOnlyInTheStore and the step without an answer in EvacuationOutlastsARestorationForAWhile failed.

--- a/src/restoration_review.cpp
+++ b/src/restoration_review.cpp
@@ -68,8 +68,8 @@
   Missing = std::set<UpstreamId>(Ids.begin(), Ids.end());
 }
 
-std::vector<UpstreamId> RestorationReview::takeMissing(TimePoint Now) {
-  if (keepsMissingItems(Now))
+std::vector<UpstreamId> RestorationReview::takeMissing(TimePoint LastSync) {
+  if (keepsMissingItems(LastSync))
     return {};
   const std::set<UpstreamId> Ids = std::exchange(Missing, {});
   return {Ids.begin(), Ids.end()};
@@ -81,17 +81,17 @@
 }
 
 std::vector<std::string>
-RestorationReview::takeMissingEvacuations(TimePoint Now) {
-  if (keepsMissingItems(Now))
+RestorationReview::takeMissingEvacuations(TimePoint LastSync) {
+  if (keepsMissingItems(LastSync))
     return {};
   const std::set<std::string> Zones = std::exchange(MissingEvacuations, {});
   return {Zones.begin(), Zones.end()};
 }
 
 std::vector<RestorationReview::HeldRegistration>
-RestorationReview::takeConfirmed(TimePoint Now) {
+RestorationReview::takeConfirmed(TimePoint LastSync) {
   std::vector<HeldRegistration> Out;
-  if (Now < HoldUntil)
+  if (LastSync < HoldUntil)
     return Out;
   for (auto &[Id, Registration] : std::exchange(Held, {}))
     Out.push_back(std::move(Registration));
--- a/src/restoration_review.h
+++ b/src/restoration_review.h
@@ -54,8 +54,9 @@
 
   void setMissing(const std::vector<UpstreamId> &Ids);
 
-  /// Returns and forgets the upstreams that did not register again in time.
-  std::vector<UpstreamId> takeMissing(TimePoint Now);
+  /// Returns and forgets the upstreams that did not register again in time, as
+  /// far as the store had confirmed it at \p LastSync.
+  std::vector<UpstreamId> takeMissing(TimePoint LastSync);
 
   void setMissingEvacuations(const std::vector<std::string> &Zones);
 
@@ -66,11 +67,12 @@
   }
 
   /// Returns and forgets the zones whose evacuation was not written again in
-  /// time.
-  std::vector<std::string> takeMissingEvacuations(TimePoint Now);
+  /// time; see takeMissing.
+  std::vector<std::string> takeMissingEvacuations(TimePoint LastSync);
 
-  /// Returns and forgets the held registrations that outlasted their time.
-  std::vector<HeldRegistration> takeConfirmed(TimePoint Now);
+  /// Returns and forgets the held registrations that outlasted their time; see
+  /// takeMissing.
+  std::vector<HeldRegistration> takeConfirmed(TimePoint LastSync);
 
   /// Records the content of a configuration that was in force, as the store has
   /// it.
--- a/src/store_update_applier.cpp
+++ b/src/store_update_applier.cpp
@@ -39,13 +39,17 @@
   SnapshotEvacuations.clear();
 }
 
+// Whether an item was written again in time, or outlasted its time, is known
+// when the store has answered after that time: a process that was paused, or
+// that the store does not answer, has not heard of it.
 void StoreUpdateApplier::applyDue() {
   const TimePoint Now = TimeSource.now();
-  for (const UpstreamId Id : Review.takeMissing(Now))
+  const TimePoint LastSync = Upstreams.lastStoreSync();
+  for (const UpstreamId Id : Review.takeMissing(LastSync))
     logUpstream(Id, Upstreams.remove(Id, Now), 0);
-  for (const auto &Held : Review.takeConfirmed(Now))
+  for (const auto &Held : Review.takeConfirmed(LastSync))
     put(Held.Registration, Held.CreatedRevision, Held.CreatedRevision);
-  for (const std::string &Zone : Review.takeMissingEvacuations(Now))
+  for (const std::string &Zone : Review.takeMissingEvacuations(LastSync))
     endEvacuation(Zone, 0);
   if (const auto Config = Review.takeDeferredConfiguration(Now))
     replaceConfiguration(*Config, 0);
--- a/src/store_update_applier.h
+++ b/src/store_update_applier.h
@@ -57,7 +57,7 @@
   void apply(const StoreSync::Update &Update);
 
   /// Applies what was put off after a restoration of the store and is due now.
-  /// Called several times a second.
+  /// Called several times a second, after UpstreamRegistry::recordStoreSync.
   void applyDue();
 
   /// Whether \p Known stays in force although the restored store has
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -131,6 +131,7 @@
   /// Called when the known registrations were in sync with the store at \p
   /// Time.
   void recordStoreSync(TimePoint Time) { LastStoreSync = Time; }
+  TimePoint lastStoreSync() const { return LastStoreSync; }
 
   /// Whether the upstream has presumably stopped: the store was available, but
   /// the upstream has not registered again in time and has not answered since.
--- a/tests/model_instance.h
+++ b/tests/model_instance.h
@@ -48,7 +48,10 @@
   void askPeer(const ModelInstance &Peer);
 
   /// What an instance does several times a second.
-  void maintain() { Applier.applyDue(); }
+  void maintain() {
+    Upstreams.recordStoreSync(Sync.confirmedAt());
+    Applier.applyDue();
+  }
 
   uint64_t configuration() const { return Routes.version().value(); }
   std::string service() const;
--- a/tests/store_restoration_test.cpp
+++ b/tests/store_restoration_test.cpp
@@ -29,7 +29,15 @@
     Instance.follow(Store);
   }
 
+  // Time in which the store answers.
   void advance(Duration Time) {
+    TimeSource.advance(Time);
+    Instance.follow(Store);
+    Instance.maintain();
+  }
+
+  // Time in which the process is paused, or the store does not answer.
+  void advanceWithoutStore(Duration Time) {
     TimeSource.advance(Time);
     Instance.maintain();
   }
@@ -160,6 +168,18 @@
   EXPECT_EQ(Instance.state(1), UpstreamState::Ready);
 }
 
+// Guards against upstreams that are dropped after a pause of the process, or
+// while the store is away, although they registered again meanwhile.
+TEST_F(StoreRestorationTest, LostRegistrationStaysWhileTheStoreIsNotHeard) {
+  Store.put(upstreamKey(4), "ready 1000");
+  restore();
+  advanceWithoutStore(60s);
+  EXPECT_EQ(Instance.state(4), UpstreamState::Ready);
+  Store.put(upstreamKey(4), "ready 1000");
+  advance(10s);
+  EXPECT_EQ(Instance.state(4), UpstreamState::Ready);
+}
+
 // Guards against new flows to an upstream that has left and only stands in the
 // copy.
 TEST_F(StoreRestorationTest, UpstreamThatHasLeftIsNotUsedAgain) {
@@ -185,6 +205,18 @@
   EXPECT_EQ(Instance.state(2), UpstreamState::Ready);
 }
 
+// Guards against a registration that is used although the store removed it
+// while the process was paused.
+TEST_F(StoreRestorationTest, RegistrationOutlastsItsLifetimeOnlyInTheStore) {
+  Store.remove(upstreamKey(2));
+  restore();
+  advanceWithoutStore(60s);
+  EXPECT_EQ(Instance.state(2), UpstreamState::Unregistered);
+  Store.remove(upstreamKey(2));
+  advance(60s);
+  EXPECT_EQ(Instance.state(2), UpstreamState::Unregistered);
+}
+
 TEST_F(StoreRestorationTest, UpstreamThatRegistersAgainIsUsedAtOnce) {
   Store.remove(upstreamKey(2));
   restore();
@@ -256,6 +288,7 @@
   Store.remove(upstreamKey(1));
   Starting.follow(Store);
   advance(3s);
+  Starting.follow(Store);
   Starting.maintain();
   EXPECT_EQ(Starting.state(1), UpstreamState::Unregistered);
   EXPECT_EQ(Starting.state(2), UpstreamState::Ready);
--- a/tests/store_update_applier_test.cpp
+++ b/tests/store_update_applier_test.cpp
@@ -158,10 +158,15 @@
   Restore({"u1"});
   apply(Content::Changes, {"e2"});
   TimeSource.advance(2400ms);
+  Upstreams.recordStoreSync(TimeSource.now());
   Applier.applyDue();
   EXPECT_TRUE(Upstreams.evacuations().contains("1"));
+  // The operator may have written it meanwhile.
   TimeSource.advance(200ms);
   Applier.applyDue();
+  EXPECT_TRUE(Upstreams.evacuations().contains("1"));
+  Upstreams.recordStoreSync(TimeSource.now());
+  Applier.applyDue();
   EXPECT_FALSE(Upstreams.evacuations().contains("1"));
   EXPECT_TRUE(Upstreams.evacuations().contains("2"));
 }
