--- a/src/http_client.h
+++ b/src/http_client.h
@@ -22,7 +22,8 @@
   /// Covers the whole call, including connecting.
   Duration Timeout = std::chrono::seconds(2);
   /// The call also fails when no byte was transferred for this time. 0 means
-  /// that only \c Timeout applies.
+  /// that only \c Timeout applies. What arrived in time counts for both, even
+  /// if the process was stalled and reads it later.
   Duration IdleTimeout{};
 };
 
@@ -35,6 +36,9 @@
   /// Whether the call failed because the response was larger than the client
   /// accepts. The same call would fail again.
   bool IsTooLarge = false;
+  /// When the last bytes arrived, by SteadyClock. A stalled process reads them
+  /// later.
+  TimePoint ArrivedAt{};
 };
 
 /// Makes HTTP calls on an event loop. Hooks are called from the loop, never
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -83,7 +83,7 @@
                Settings.Policy.StoreSharing},
               TimeSource, Peers),
       Mirror(this->StateHooks.Supersedes),
-      Exchange(Loop, Http, ownPeerInfo(Settings), Peers, Mirror,
+      Exchange(Loop, Http, ownPeerInfo(Settings), Peers, Mirror, TimeSource,
                {[this] { return dataAge(); },
                 [this] { return this->StateHooks.Configuration(); }}) {}
 
@@ -117,7 +117,10 @@
   Call.Timeout = Query.Timeout;
   Http.call(Call,
             [this, Query, CallNumber = ++LastCall](const HttpResult &Answer) {
-              onResult(Query, CallNumber, Protocol.DecodeResult(Query, Answer));
+              StoreResult Result = Protocol.DecodeResult(Query, Answer);
+              TimeSource.refresh();
+              Result.Age = TimeSource.now() - Answer.ArrivedAt;
+              onResult(Query, CallNumber, std::move(Result));
             });
 }
 
