--- a/tests/golden_test.cpp
+++ b/tests/golden_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "golden_file.h"
 #include "session_trace.h"
 
 namespace indigopoint {
--- a/tests/odd_entry_fuzz_test.cpp
+++ b/tests/odd_entry_fuzz_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "byte_mutations.h"
 #include "odd_entries.h"
 #include "peer_codec.h"
 
@@ -16,25 +17,6 @@
 const bool DefaultIsSet =
     setenv("RC_PARAMS", "seed=20 max_success=300 max_size=50", 0) == 0;
 
-// Replaces, removes or repeats some bytes of a text.
-std::string mutate(std::string Text) {
-  const int Changes = *rc::gen::inRange(0, 6);
-  for (int Index = 0; Index < Changes && !Text.empty(); ++Index) {
-    const size_t Offset = *rc::gen::inRange<size_t>(0, Text.size());
-    switch (*rc::gen::inRange(0, 3)) {
-    case 0:
-      Text[Offset] = static_cast<char>(*rc::gen::inRange(0, 256));
-      break;
-    case 1:
-      Text.erase(Offset, *rc::gen::inRange<size_t>(1, 5));
-      break;
-    default:
-      Text.insert(Offset, Text.substr(Offset, 20));
-    }
-  }
-  return Text;
-}
-
 RC_GTEST_PROP(OddEntryFuzzTest, ChangedEntriesLeaveTheOthersAsTheyWere, ()) {
   static const std::vector<OddEntry> Seeds = oddEntries();
   OddEntryWorld World;
