Check a configuration of routes before it is sent

Change: "indigopoint check-config FILE [--in-force FILE|ADDRESS:PORT] [--json]" names errors and warnings with line, field and remedy, and lists what appears, goes and changes. The file is parsed by json_document, checked by json_schema and decoded by the decoder of instances, with the same limits (entry_limits); src/ decides on findings and differences, platform/ knows the keys. Reading the store and its upstreams goes through StoreCalls.

--- a/src/json_document.cpp
+++ b/src/json_document.cpp
@@ -127,10 +127,7 @@
     return true;
   }
   bool open(JsonNode::ValueType Type);
-  bool close() {
-    OpenContainers.pop_back();
-    return true;
-  }
+  bool close();
 
   std::shared_ptr<const std::string> File;
   const ReadPosition &Position;
@@ -184,6 +181,14 @@
   return false;
 }
 
+bool TreeBuilder::close() {
+  // Large files have many small objects, whose spare room adds up.
+  OpenContainers.back()->Items.shrink_to_fit();
+  OpenContainers.back()->Members.shrink_to_fit();
+  OpenContainers.pop_back();
+  return true;
+}
+
 bool TreeBuilder::key(string_t &Value) {
   Key = Value;
   KeyLine = Position.Line;
@@ -254,6 +259,41 @@
   return TypeNames[static_cast<size_t>(Type)];
 }
 
+bool hasSameValue(const JsonNode &A, const JsonNode &B) {
+  if (A.Type != B.Type || A.Boolean != B.Boolean || A.Number != B.Number ||
+      A.Integer != B.Integer || A.String != B.String ||
+      A.Members.size() != B.Members.size())
+    return false;
+  for (const auto &[Key, Value] : A.Members) {
+    const JsonNode *Other = B.find(Key);
+    if (Other == nullptr || !hasSameValue(Value, *Other))
+      return false;
+  }
+  return std::equal(A.Items.begin(), A.Items.end(), B.Items.begin(),
+                    B.Items.end(), hasSameValue);
+}
+
+std::string compactText(const JsonNode &Value) {
+  const auto Quoted = [](const std::string &Text) {
+    return Json(Text).dump(-1, ' ', false, Json::error_handler_t::replace);
+  };
+  std::string Out;
+  switch (Value.Type) {
+  case JsonNode::ValueType::String:
+    return Quoted(Value.String);
+  case JsonNode::ValueType::Array:
+    for (const JsonNode &Item : Value.Items)
+      Out += (Out.empty() ? "" : ",") + compactText(Item);
+    return "[" + Out + "]";
+  case JsonNode::ValueType::Object:
+    for (const auto &[Key, Member] : Value.Members)
+      Out += (Out.empty() ? "" : ",") + Quoted(Key) + ":" + compactText(Member);
+    return "{" + Out + "}";
+  default:
+    return Value.brief();
+  }
+}
+
 std::optional<JsonNode> parseJson(const std::string &File,
                                   const std::string &Text, SiteErrors &Errors,
                                   const JsonLimits &Limits) {
@@ -269,7 +309,7 @@
   const CountingIterator Begin(Text.data(), &Position);
   const CountingIterator End(Text.data() + Text.size(), &Position);
   if (!Json::sax_parse(Begin, End, &Builder, Json::input_format_t::json, true,
-                       true))
+                       Limits.AllowsComments))
     return std::nullopt;
   return std::move(Builder.Root);
 }
--- a/src/json_document.h
+++ b/src/json_document.h
@@ -65,13 +65,20 @@
 
 std::string_view nameOf(JsonNode::ValueType Type);
 
+/// Whether two values are the same, whatever the order of keys.
+bool hasSameValue(const JsonNode &A, const JsonNode &B);
+
+/// The whole value as JSON in one line.
+std::string compactText(const JsonNode &Value);
+
 struct JsonLimits {
   size_t MaxBytes = size_t{16} * 1024 * 1024;
   size_t MaxDepth = 16;
+  bool AllowsComments = true;
 };
 
-/// Parses JSON with comments. On failure, adds to \p Errors and returns
-/// std::nullopt.
+/// Parses JSON, with comments if \p Limits allows them. On failure, adds to \p
+/// Errors and returns std::nullopt.
 std::optional<JsonNode> parseJson(const std::string &File,
                                   const std::string &Text, SiteErrors &Errors,
                                   const JsonLimits &Limits = {});
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,6 +13,7 @@
 #include "command_show.h"
 #include "command_status.h"
 #include "command_version.h"
+#include "platform/command_check_config.h"
 #include "platform/command_evacuate.h"
 #include "platform/command_forward.h"
 
@@ -26,6 +27,8 @@
             indigopoint::platform::runForward},
     Command{"evacuate", "keep new flows away from a zone",
             indigopoint::platform::runEvacuate},
+    Command{"check-config", "check routes before they are sent",
+            indigopoint::platform::runCheckConfig},
     Command{"check", "check configuration files", indigopoint::runCheck},
     Command{"apply", "apply configuration files", indigopoint::runApply},
     Command{"show", "show a configuration", indigopoint::runShow},
@@ -38,10 +41,13 @@
     Command{"version", "print the version", indigopoint::runVersion},
 };
 
+// Of the column of names, with the space after it.
+constexpr size_t NameWidth = 14;
+
 void printUsage(std::ostream &Out) {
   Out << "usage: indigopoint COMMAND [ARGUMENT...]\n\n";
   for (const Command &Entry : Commands)
-    Out << "  " << Entry.Name << std::string(10 - Entry.Name.size(), ' ')
+    Out << "  " << Entry.Name << std::string(NameWidth - Entry.Name.size(), ' ')
         << Entry.Brief << "\n";
   Out << "\n\"indigopoint COMMAND --help\" shows the arguments.\n";
 }
--- a/src/site_arguments.cpp
+++ b/src/site_arguments.cpp
@@ -7,12 +7,7 @@
 
 namespace indigopoint {
 
-void printErrors(const SiteErrors &Errors, bool AsJson) {
-  if (!AsJson) {
-    for (const SiteError &Error : Errors)
-      std::cerr << Error.message() << "\n";
-    return;
-  }
+nlohmann::json jsonOf(const SiteErrors &Errors) {
   auto List = nlohmann::json::array();
   for (const SiteError &Error : Errors)
     List.push_back({{"kind", nameOf(Error.Kind)},
@@ -21,7 +16,17 @@
                     {"pointer", Error.Pointer},
                     {"found", Error.Actual},
                     {"remedy", Error.Remedy}});
-  std::cout << nlohmann::json({{"result", "invalid"}, {"errors", List}})
+  return List;
+}
+
+void printErrors(const SiteErrors &Errors, bool AsJson) {
+  if (!AsJson) {
+    for (const SiteError &Error : Errors)
+      std::cerr << Error.message() << "\n";
+    return;
+  }
+  std::cout << nlohmann::json(
+                   {{"result", "invalid"}, {"errors", jsonOf(Errors)}})
                    .dump(2, ' ', false,
                          nlohmann::json::error_handler_t::replace)
             << "\n";
--- a/src/site_arguments.h
+++ b/src/site_arguments.h
@@ -3,6 +3,8 @@
 #include <string>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "site_config.h"
 
 namespace indigopoint {
@@ -15,6 +17,9 @@
                    const std::vector<std::string> &OverlayPaths, bool AsJson,
                    SiteConfig &Out);
 
+/// A list of objects, one for each error.
+nlohmann::json jsonOf(const SiteErrors &Errors);
+
 /// Prints errors as text or as JSON.
 void printErrors(const SiteErrors &Errors, bool AsJson);
 
--- a/src/site_error.cpp
+++ b/src/site_error.cpp
@@ -6,12 +6,19 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 18> KindNames = {
-    "unreadable-file",   "file-too-large", "nested-too-deep", "syntax",
-    "duplicate-key",     "unknown-key",    "wrong-type",      "missing-key",
-    "out-of-range",      "bad-value",      "duplicate-name",  "duplicate-id",
-    "duplicate-address", "unknown-zone",   "no-upstreams",    "hash-collision",
-    "overlay-scope",     "reused-id"};
+constexpr std::array<std::string_view, 23> KindNames = {
+    "unreadable-file",   "file-too-large",
+    "nested-too-deep",   "syntax",
+    "duplicate-key",     "unknown-key",
+    "wrong-type",        "missing-key",
+    "out-of-range",      "bad-value",
+    "duplicate-name",    "duplicate-id",
+    "duplicate-address", "unknown-zone",
+    "no-upstreams",      "hash-collision",
+    "overlay-scope",     "reused-id",
+    "unknown-service",   "no-effect",
+    "contradiction",     "outdated-version",
+    "large-change"};
 
 } // namespace
 
--- a/src/site_error.h
+++ b/src/site_error.h
@@ -25,7 +25,14 @@
   NoUpstreams,
   HashCollision,
   OverlayScope,
-  ReusedId
+  ReusedId,
+  UnknownService,
+  /// An entry that has no effect.
+  NoEffect,
+  Contradiction,
+  OutdatedVersion,
+  /// A change that many flows notice.
+  LargeChange
 };
 
 std::string_view nameOf(SiteErrorKind Kind);
