Report errors of a file before the store is asked

An unreachable store hid the errors of the file, and a service whose only route is shadowed was not named as losing its routes. Change: the file's errors end the check first; routes to a service are counted among those in force. Two messages no longer say "1 routes".

--- a/src/route_checks.cpp
+++ b/src/route_checks.cpp
@@ -246,9 +246,8 @@
     Out.Warnings.push_back(Source.error(
         SiteErrorKind::NoUpstreams,
         "the service " + quoted(Service) +
-            " without an upstream that takes "
-            "new flows, used by " +
-            std::to_string(ServiceUse.RouteCount) + " routes",
+            " without an upstream that takes new flows (routes to it: " +
+            std::to_string(ServiceUse.RouteCount) + ")",
         "start upstreams of the service first, or correct its name"));
   }
 }
--- a/src/route_difference.cpp
+++ b/src/route_difference.cpp
@@ -186,10 +186,11 @@
   return Moved;
 }
 
-std::map<std::string, size_t> routeCounts(const RouteConfiguration &Content) {
+std::map<std::string, size_t> routeCounts(const RoutePlan &Plan,
+                                          const RouteFileKeys &Keys) {
   std::map<std::string, size_t> Out;
-  for (const Route &Entry : Content.Routes)
-    for (const RouteShare &Share : Entry.Shares)
+  for (const auto &[Address, Entry] : routesOf(Plan, Keys))
+    for (const RouteShare &Share : Entry.Content->Shares)
       if (Share.Weight > 0)
         ++Out[Share.Service];
   return Out;
@@ -209,16 +210,17 @@
 }
 
 void checkRoutesOfServices(const RoutePlan &Old, const RoutePlan &New,
-                           const JsonNode &Place, RouteFindings &Out) {
-  const auto NewCounts = routeCounts(New.Content);
-  for (const auto &[Service, Count] : routeCounts(Old.Content))
+                           const RouteFileKeys &Keys, RouteFindings &Out) {
+  const auto NewCounts = routeCounts(New, Keys);
+  const JsonNode &Place = *New.Source.find(Keys.Routes);
+  for (const auto &[Service, Count] : routeCounts(Old, Keys))
     if (NewCounts.count(Service) == 0)
-      Out.Warnings.push_back(
-          Place.error(SiteErrorKind::LargeChange,
-                      "no route to the service \"" + Service +
-                          "\", which gets no new flows; " +
-                          std::to_string(Count) + " routes in force lead there",
-                      "keep a route to it, unless the service ends"));
+      Out.Warnings.push_back(Place.error(
+          SiteErrorKind::LargeChange,
+          "no route to the service \"" + Service +
+              "\", which gets no new flows (routes to it in force: " +
+              std::to_string(Count) + ")",
+          "keep a route to it, unless the service ends"));
 }
 
 } // namespace
@@ -271,17 +273,18 @@
                  const RouteFileKeys &Keys, RouteFindings &Out) {
   if (Difference.empty())
     return;
-  const JsonNode &Place = *New.Source.find(Keys.Routes);
   checkVersion(Old, New, Keys, Out);
-  checkRoutesOfServices(Old, New, Place, Out);
+  checkRoutesOfServices(Old, New, Keys, Out);
   const double Moved = movedShare(Old.Content, New.Content);
   if (Moved > LargeMovedShare)
-    Out.Warnings.push_back(Place.error(
-        SiteErrorKind::LargeChange,
-        "routes that refuse or move " +
-            std::to_string(std::lround(Moved * 100)) +
-            "% of the new flows in force, each route counted alike",
-        "apply the change in smaller steps, or check that it is meant"));
+    Out.Warnings.push_back(
+        New.Source.find(Keys.Routes)
+            ->error(SiteErrorKind::LargeChange,
+                    "routes that refuse or move " +
+                        std::to_string(std::lround(Moved * 100)) +
+                        "% of the new flows in force, each route counted alike",
+                    "apply the change in smaller steps, or check that it is "
+                    "meant"));
 }
 
 } // namespace indigopoint
--- a/tests/command_check_config_test.cpp
+++ b/tests/command_check_config_test.cpp
@@ -147,6 +147,8 @@
       {{pathOf("old.json"), "-i", "127.0.0.1:1"}, "no answer", EX_UNAVAILABLE},
       {{pathOf("comment.json")}, "comment.json:1", EX_CONFIG},
       {{pathOf("broken.json")}, "broken.json:2 /Routes", EX_CONFIG},
+      // An unreachable store does not hide the errors of the file.
+      {{pathOf("broken.json"), "-i", "127.0.0.1:1"}, ":2 /Routes", EX_CONFIG},
   };
   for (const auto &Case : Cases) {
     const std::string Text = run(Case.Args);
@@ -201,7 +203,7 @@
   };
   const std::string Text = Run();
   for (const std::string Part :
-       {"\"photos\" without an upstream that takes new flows, used by 2 routes",
+       {"\"photos\" without an upstream that takes new flows (routes to it: 2)",
         "\"chat\" without an upstream", "0 added, 0 removed, 0 changed",
         "exit code 1"})
     EXPECT_NE(Text.find(Part), std::string::npos) << Text;
