--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 SEED ?= 1
 SECONDS_OF_TRAFFIC ?= 20
 MINUTES ?= 1
+SOAK_OPTIONS ?=
 ROUNDS ?= 9
 PACKETS ?= 60000
 SEEDS ?= 4
@@ -46,7 +47,8 @@
 
 # Random faults for forwarder processes, checked from what clients and upstreams observe.
 soak: build
-	@python3 soak/soak.py $(BUILD)/indigopoint --seed $(SEED) --minutes $(MINUTES)
+	@python3 soak/soak.py $(BUILD)/indigopoint --seed $(SEED) --minutes $(MINUTES) \
+	  $(SOAK_OPTIONS)
 
 # Runs the program beside that of the commit FROM, through an upgrade and under faults.
 upgrade: build
--- a/scripts/upgrade.sh
+++ b/scripts/upgrade.sh
@@ -21,5 +21,5 @@
   echo "upgrade: from $commit: $*"
   python3 soak/soak.py "$build/indigopoint" --earlier-program "$earlier/target/indigopoint" "$@"
 }
-run --upgrade --reports --seed "$seed" --minutes 0.1
+run --upgrade --seed "$seed" --minutes 0.1
 run --seed "$seed" --minutes "$minutes"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,12 +4,14 @@
 
 import json
 import math
+import os
 import signal
 import time
 
 from fault_proxy import Mode
 from flow_platform import (COLD_PER_S, CONFIGURATION_KEY, configuration, evacuation_key,
                            foreign_entries)
+from load import BusyProcesses, Starvation
 from oracle import Version
 
 PAUSE_S = (0.05, 4)
@@ -25,6 +27,10 @@
 EXPIRY_S = 3.6
 # Longer than the time after which an evacuation must be in force.
 EVACUATION_S = (8, 16)
+LATE_S, FEW_PUNCTUAL = (0.3, 1.5), (1, 3)
+LOAD_S = (1, 4)
+# Some faults begin a series of others.
+SERIES_SHARE, SERIES_LENGTH, SERIES_INTERVAL_S = 0.25, (2, 5), (0.05, 0.5)
 
 
 class Faults:
@@ -35,18 +41,41 @@
         # Ids of the instances and upstreams with a fault in progress that excludes others.
         self.busy = set()
         self.pending = []
+        # No fault begins any more.
+        self.is_ending = False
+        self.load_processes = BusyProcesses()
+        self.late_clients = set()
         self.counts = {}
         self.kinds = [self.pause, self.kill, self.stop, self.store_link, self.silence_connections,
                       self.turn_away, self.reload, self.broken_settings, self.outage, self.slow,
                       self.forget, self.restore_copy, self.lapse, self.drain, self.crash,
                       self.silence_upstream, self.toggle_route, self.toggle_route,
                       self.burst_of_changes, self.evacuate, self.evacuate, self.foreign_entry,
-                      self.restart_in_cut]
+                      self.restart_in_cut, self.lapse_many, self.load, self.load, self.starve,
+                      self.starve, self.starve, self.delay_clients, self.delay_clients]
+        # Series leave the store undisturbed, so that the time bounds hold for long enough.
+        store_wide = [self.outage, self.slow, self.forget, self.restore_copy, self.lapse,
+                      self.lapse_many, self.restart_in_cut]
+        self.series_kinds = [kind for kind in self.kinds if kind not in store_wide]
+
+    def select(self, names):
+        """Leaves only the kinds of these names."""
+        self.kinds = [kind for kind in self.kinds if kind.__name__ in names]
+        self.series_kinds = self.kinds
 
     def step(self):
+        """Starts one random fault, and at times a series of others that overlap it."""
+        self.start_fault(self.kinds)
+        if self.random.random() < SERIES_SHARE:
+            delay = 0
+            for _ in range(self.random.randint(*SERIES_LENGTH)):
+                delay += self.duration(SERIES_INTERVAL_S)
+                self.later(delay, lambda: self.start_fault(self.series_kinds))
+
+    def start_fault(self, kinds):
         """Starts one random fault, or none if the chosen one is not possible now."""
-        kind = self.random.choice(self.kinds)
-        if kind():
+        kind = self.random.choice(kinds)
+        if not self.is_ending and kind():
             self.counts[kind.__name__] = self.counts.get(kind.__name__, 0) + 1
 
     def duration(self, limits):
@@ -114,12 +143,13 @@
         instance = self.reserve(self.system.instances)
         if instance is None:
             return False
-        instance.process.send_signal(signal.SIGTERM)
+        process = instance.process
+        process.send_signal(signal.SIGTERM)
         self.oracle.disturbances.begin(instance.name)
         # A SIGHUP that follows a SIGTERM must not cancel the graceful shutdown.
         if self.random.random() < 0.3:
-            self.later(0.1, lambda: instance.process.poll() is None
-                       and instance.process.send_signal(signal.SIGHUP))
+            self.later(0.1, lambda: process.poll() is None
+                       and process.send_signal(signal.SIGHUP))
         self.await_end(instance, time.monotonic() + instance.settings["stopLimitS"])
         return True
 
@@ -135,6 +165,54 @@
         self.restart(instance)
         self.oracle.disturbances.end(instance.name, time.monotonic())
 
+    # Open flows have to survive a shortage of processor time and late clients. Load and late
+    # clients excuse nothing; an instance that is stopped nine tenths of the time may miss the
+    # time bounds, as one that is paused.
+
+    def load(self):
+        """Keeps half of the processors or more busy."""
+        count = self.random.randint((os.cpu_count() + 1) // 2, os.cpu_count())
+        seconds = self.duration(LOAD_S)
+        processes = self.load_processes.start(count, seconds)
+        self.later(seconds, lambda: self.load_processes.stop(processes))
+        return bool(processes)
+
+    def starve(self):
+        instance = self.reserve(self.system.instances)
+        if instance is None:
+            return False
+        starvation = Starvation(self.system.loop, instance.process)
+
+        def end():
+            starvation.end()
+            self.release(instance)
+
+        self.disturb(instance.name, self.duration(FAULT_S), end)
+        return True
+
+    def delay_clients(self):
+        """Packets for some clients of a zone wait, or for nearly all, as on a slow path."""
+        clients = self.system.clients
+        zone = self.random.choice(sorted(self.system.size.instances))
+        punctual = [client for client in clients.clients
+                    if client.zone == zone and client not in self.late_clients]
+        if len(punctual) <= FEW_PUNCTUAL[1]:
+            return False
+        count = (len(punctual) - self.random.randint(*FEW_PUNCTUAL) if self.random.random() < 0.5
+                 else self.random.randint(1, len(punctual)))
+        late = self.random.sample(punctual, count)
+        self.late_clients.update(late)
+        for client in late:
+            clients.suspend(client)
+
+        def end():
+            self.late_clients.difference_update(late)
+            for client in late:
+                clients.resume(client)
+
+        self.later(self.duration(LATE_S), end)
+        return True
+
     def store_link(self):
         instance = self.random.choice(self.system.instances)
         mode = self.random.choice([mode for mode in Mode if mode is not Mode.PASS])
@@ -160,9 +238,9 @@
 
     def reload(self):
         instance = self.random.choice(self.system.instances)
-        instance.settings["logLinesPerSecond"] = self.random.choice([0, 100, 200])
+        instance.settings["logLinesPerSecond"] = self.random.choice(self.system.log_rates)
         instance.write_settings(json.dumps(instance.settings))
-        if instance.process.poll() is None and id(instance) not in self.busy:
+        if id(instance) not in self.busy and instance.handles_signal(signal.SIGHUP):
             instance.process.send_signal(signal.SIGHUP)
         return True
 
@@ -171,7 +249,8 @@
         if instance is None:
             return False
         instance.write_settings(self.random.choice(["", "{", '{"name": 7}']))
-        instance.process.send_signal(signal.SIGHUP)
+        if instance.handles_signal(signal.SIGHUP):
+            instance.process.send_signal(signal.SIGHUP)
 
         def restore_settings():
             instance.write_settings(json.dumps(instance.settings))
@@ -184,13 +263,13 @@
 
     def outage(self):
         self.system.store.outage_status = 503
-
-        def end_outage():
-            self.system.store.outage_status = None
-
-        self.disturb("store", self.duration(FAULT_S), end_outage)
+        self.disturb("store", self.duration(FAULT_S), self.end_outage)
         return True
 
+    def end_outage(self):
+        self.system.store.outage_status = None
+        self.oracle.record_store_return(time.monotonic())
+
     def slow(self):
         self.system.store.delay_s = self.random.uniform(0.05, 0.6)
 
@@ -210,7 +289,7 @@
         store.outage_status = 503
 
         def come_back():
-            store.outage_status = None
+            self.end_outage()
             self.oracle.record_lost_state()
             store.restore(self.duration(COPY_AGE_S))
             for key in store.lost_keys():
@@ -236,17 +315,41 @@
         self.system.store.outage_status = 503
 
         def end_outage():
-            self.system.store.outage_status = None
-            self.system.store.remove(upstream.key)
-            self.later(1, come_back)
-
-        def come_back():
-            self.system.register(upstream)
-            self.release(upstream)
+            self.end_outage()
+            self.system.remove_registration(upstream)
+            self.later(1, lambda: self.register_again(upstream))
 
         self.disturb("store", REGISTRATION_EXPIRY_OUTAGE_S, end_outage)
         return True
 
+    def register_again(self, upstream):
+        """Registers an upstream whose registration has expired once the store is there."""
+        if self.system.store.outage_status and not self.is_ending:
+            self.later(self.duration(REWRITE_S), lambda: self.register_again(upstream))
+            return
+        self.system.register(upstream)
+        self.release(upstream)
+
+    def lapse_many(self):
+        """Registrations expire in a long outage; their upstreams write them again, at times
+        only after another outage."""
+        upstreams = [upstream for upstream in self.system.faultable_upstreams()
+                     if id(upstream) not in self.busy and self.random.random() < 0.5]
+        self.busy.update(id(upstream) for upstream in upstreams)
+        self.system.store.outage_status = 503
+
+        def end_outage():
+            self.end_outage()
+            for upstream in upstreams:
+                self.system.remove_registration(upstream)
+                self.later(self.duration(REWRITE_S),
+                           lambda upstream=upstream: self.register_again(upstream))
+            if self.random.random() < 0.5 and not self.is_ending:
+                self.later(self.duration(SERIES_INTERVAL_S), self.outage)
+
+        self.disturb("store", EXPIRY_S, end_outage)
+        return True
+
     # Upstreams.
 
     def drain(self):
@@ -263,21 +366,27 @@
         return True
 
     def crash(self):
-        """An upstream crashes. Its registration is removed 1 s later or stays, and it
-        starts again under the same id."""
+        """An upstream crashes. Its registration expires or stays until it starts again
+        under the same id."""
         upstream = self.reserve(self.system.faultable_upstreams())
         if upstream is None:
             return False
         upstream.crash()
         self.oracle.record_lost_flows(upstream.identity)
-        is_expired = self.random.random() < 0.5
-        if is_expired:
-            self.later(1, lambda: self.system.store.remove(upstream.key))
+        has_started = False
+
+        def expire():
+            if not has_started:
+                self.system.store.remove(upstream.key)
 
         def start():
+            nonlocal has_started
+            has_started = True
             self.system.restart_cold(upstream)
             self.release(upstream)
 
+        if self.random.random() < 0.5:
+            self.later(self.system.size.expiry_s, expire)
         self.disturb(upstream.key, self.duration((1.5, 5)), start)
         return True
 
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -21,6 +21,9 @@
     cold_per_s: float = 1.0
     cold_overshoot: float = 1.5
     cold_slack: float = 5.0
+    # An upstream whose registration is missing for longer while the store is there is to be
+    # treated as gone.
+    missing: float = 2.0
     # A loaded machine may delay a packet or a thread of the oracle for this long.
     slack: float = 0.5
 
@@ -62,6 +65,9 @@
         self.services, self.draining = {}, {}
         # The zone of each upstream, and when the store acknowledged a zone's evacuation.
         self.zones, self.evacuated = {}, {}
+        # Since when the registration of an upstream has been missing, and when one that was
+        # missing for too long was written again.
+        self.missing, self.late_registrations = {}, {}
         # The instances that must know an evacuation, and since when.
         self.informed = {}
         # When a cold upstream was registered and until when it is cold, and the openings
@@ -82,6 +88,25 @@
     def record_version(self, version):
         self.versions.append(version)
 
+    def record_missing(self, upstream, since):
+        """The registration of an upstream that goes on has expired."""
+        self.missing[upstream] = since
+
+    def record_store_return(self, now):
+        """Upstreams could not register while the store was away."""
+        self.missing = dict.fromkeys(self.missing, now)
+
+    def record_registration(self, upstream, now):
+        """The registration was written to the store."""
+        since = self.missing.pop(upstream, now)
+        if now - since > self.bounds.missing:
+            self.late_registrations[upstream] = now
+
+    def was_presumed_gone(self, upstream, since, now):
+        """Whether the registration was missing for too long, or is, after `since`."""
+        return (now - self.missing.get(upstream, now) > self.bounds.missing
+                or self.late_registrations.get(upstream, -math.inf) >= since)
+
     def record_upstream(self, upstream, service, zone="zone-a"):
         self.services[upstream], self.zones[upstream] = service, zone
         self.draining.pop(upstream, None)
--- a/soak/oracle_test.py
+++ b/soak/oracle_test.py
@@ -78,6 +78,26 @@
         self.oracle.client_was_reset(reset, lambda upstream: False, 11)
         self.assert_nothing_seen()
 
+    def test_presumes_an_upstream_gone_that_registers_too_late(self):
+        self.oracle.record_missing(CHAT, 5)
+        self.oracle.record_missing(CHAT_TWO, 5)
+        self.oracle.record_registration(CHAT_TWO, 6.9)
+        for upstream, now, since, is_presumed_gone in (
+                (CHAT, 6.9, 4, False), (CHAT, 7.1, 5, True), (CHAT_TWO, 7.1, 5, False)):
+            self.assertEqual(self.oracle.was_presumed_gone(upstream, since, now),
+                             is_presumed_gone, (upstream, now))
+        self.oracle.record_registration(CHAT, 7.5)
+        self.assertTrue(self.oracle.was_presumed_gone(CHAT, 7, 9))
+        self.assertFalse(self.oracle.was_presumed_gone(CHAT, 8, 10))
+
+    def test_presumes_no_upstream_gone_while_the_store_is_away(self):
+        self.oracle.record_missing(CHAT, 5)
+        self.oracle.record_store_return(8)
+        self.assertFalse(self.oracle.was_presumed_gone(CHAT, 5, 9.9))
+        self.assertTrue(self.oracle.was_presumed_gone(CHAT, 5, 10.1))
+        self.oracle.record_registration(CHAT, 9.9)
+        self.assertFalse(self.oracle.was_presumed_gone(CHAT, 5, 11))
+
     def test_sees_a_new_flow_at_an_upstream_that_drained_long_ago(self):
         self.oracle.record_drain(CHAT, 5)
         self.open(at=9)
--- a/standins/flow_platform.py
+++ b/standins/flow_platform.py
@@ -30,9 +30,11 @@
     return "op/evacuate/" + zone
 
 
-def datagram_socket(address):
+def datagram_socket(address, receive_buffer_bytes=None):
     """A UDP socket that is bound to an address and port."""
     udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    if receive_buffer_bytes:
+        udp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
     udp_socket.bind(address)
     return udp_socket
 
@@ -293,9 +295,12 @@
 
     def start(self):
         self.flows.clear()
+        self.open_sockets()
+        threading.Thread(target=self.serve, args=(self.socket,), daemon=True).start()
+
+    def open_sockets(self):
         self.socket = datagram_socket(self.endpoint)
         self.listener = socket.create_server(self.endpoint)
-        threading.Thread(target=self.serve, args=(self.socket,), daemon=True).start()
 
     def crash(self):
         # A blocked reader would keep the port; shutdown wakes it.
@@ -328,19 +333,25 @@
                 return
             if self.is_silent:
                 continue
-            addressed_upstream = struct.unpack(">Q", raw[:8])[0]
-            packet = Packet.decode(raw[8:])
+            try:
+                self.handle(raw, source)
+            except OSError:
+                return
+
+    def handle(self, raw, source):
+        addressed_upstream = struct.unpack(">Q", raw[:8])[0]
+        packet = Packet.decode(raw[8:])
+        if self.on_packet is not None:
+            self.on_packet(self, addressed_upstream, packet, source)
+        else:
+            assert addressed_upstream == self.identity, "a packet for another upstream"
             self.received.append(packet)
-            if self.on_packet is not None:
-                self.on_packet(self, addressed_upstream, packet, source)
-            else:
-                assert addressed_upstream == self.identity, "a packet for another upstream"
-            answer = self.answer(packet)
-            if answer is not None:
-                try:
-                    udp_socket.sendto(answer.encode(), (packet.source[0], self.client_port))
-                except OSError:
-                    return
+        self.respond(packet)
+
+    def respond(self, packet):
+        answer = self.answer(packet)
+        if answer is not None:
+            self.socket.sendto(answer.encode(), (packet.source[0], self.client_port))
 
     @property
     def sequence(self):
--- a/standins/forwarder_process.py
+++ b/standins/forwarder_process.py
@@ -1,10 +1,9 @@
 """A forwarder process under test, with its settings file and its log."""
 
+import http.client
 import json
 import socket
 import subprocess
-import urllib.error
-import urllib.request
 
 from flow_platform import READY_PATH
 
@@ -23,11 +22,13 @@
         # The standard output is a pipe that nobody reads.
         self.is_output_blocked = is_output_blocked
         self.program, self.name, self.data_address = program, name, (address, data_port)
-        self.ready_address = "%s:%d" % (address, free_port())
+        self.zone = settings.get("zone", "zone-a")
+        self.ready_address = (settings.pop("readyAddress", None)
+                              or "%s:%d" % (address, free_port()))
         self.peer_address = settings.pop("peerAddress", None) or "%s:%d" % (address, free_port())
         self.settings_path = folder / (name + ".json")
         self.log = folder / (name + ".log")
-        self.settings = {"name": name, "zone": "zone-a", "dataAddress": "%s:%d" % self.data_address,
+        self.settings = {"name": name, "zone": self.zone, "dataAddress": "%s:%d" % self.data_address,
                         "readyAddress": self.ready_address, "store": store,
                          "peerAddress": self.peer_address, "stopLimitS": 4, **settings}
         self.write_settings(json.dumps(self.settings))
@@ -44,13 +45,23 @@
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(command, stdout=log)
 
+    def handles_signal(self, number):
+        """Whether the process has a handler yet; one that has just started would end."""
+        if self.process.poll() is not None:
+            return False
+        with open("/proc/%d/status" % self.process.pid) as status:
+            caught = next(line for line in status if line.startswith("SigCgt:"))
+        return bool(int(caught.split()[1], 16) >> (number - 1) & 1)
+
     def is_ready(self, timeout=2):
+        connection = http.client.HTTPConnection(self.ready_address, timeout=timeout)
         try:
-            answer = urllib.request.urlopen("http://" + self.ready_address + READY_PATH,
-                                            timeout=timeout)
-            return answer.status == 200
-        except (urllib.error.URLError, OSError):
+            connection.request("GET", READY_PATH)
+            return connection.getresponse().status == 200
+        except (http.client.HTTPException, OSError):
             return False
+        finally:
+            connection.close()
 
     def kill(self):
         if self.process.poll() is None:
