Say why an open flow was reset

Change: ResetCause names what a reset is based on; the line has it with the age of the evidence and the time since the upstream's last answer, and indigopoint_flow_resets_total counts by cause. A check says whether it was refused or timed out. A report of others does not replace the verdict of an own check that is in force. When flows are reset is unchanged.

--- a/src/connect_check.cpp
+++ b/src/connect_check.cpp
@@ -1,5 +1,6 @@
 #include "connect_check.h"
 
+#include <array>
 #include <list>
 #include <new>
 #include <utility>
@@ -12,6 +13,17 @@
 
 namespace indigopoint {
 
+namespace {
+
+constexpr std::array<std::string_view, 3> ResultNames = {"accepted", "refused",
+                                                         "timed-out"};
+
+} // namespace
+
+std::string_view nameOf(ConnectResult Value) {
+  return ResultNames.at(static_cast<size_t>(Value));
+}
+
 struct ConnectCheck::Impl {
   struct Attempt {
     ~Attempt() {
@@ -28,16 +40,18 @@
 
   explicit Impl(EventLoop &Loop) : Loop(Loop) {}
 
-  void finish(Attempt &FinishedAttempt, bool IsAccepting) {
+  void finish(Attempt &FinishedAttempt, ConnectResult Result) {
     const ResultHook OnResult = std::move(FinishedAttempt.OnResult);
     Attempts.erase(FinishedAttempt.Position);
-    OnResult(IsAccepting);
+    OnResult(Result);
   }
 
   static void onEvent(bufferevent *, short Events, void *Context) {
     auto &FinishedAttempt = *static_cast<Attempt *>(Context);
     FinishedAttempt.Owner->finish(FinishedAttempt,
-                                  (Events & BEV_EVENT_CONNECTED) != 0);
+                                  (Events & BEV_EVENT_CONNECTED) != 0
+                                      ? ConnectResult::Accepted
+                                      : ConnectResult::Refused);
   }
 
   EventLoop &Loop;
@@ -72,7 +86,10 @@
                                  sizeof(Address)) == 0;
   NewAttempt.TimeoutTimer = LoopEvent::after(
       PImpl->Loop, IsConnecting ? Timeout : Duration(),
-      [Owner = PImpl.get(), &NewAttempt] { Owner->finish(NewAttempt, false); });
+      [Owner = PImpl.get(), &NewAttempt, IsConnecting] {
+        Owner->finish(NewAttempt, IsConnecting ? ConnectResult::TimedOut
+                                               : ConnectResult::Refused);
+      });
 }
 
 } // namespace indigopoint
--- a/src/connect_check.h
+++ b/src/connect_check.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "types.h"
 
@@ -9,11 +11,21 @@
 
 class EventLoop;
 
+/// The result of an attempt to connect, from the best to the worst.
+enum class ConnectResult : uint8_t {
+  Accepted,
+  /// The connection was refused or failed otherwise.
+  Refused,
+  TimedOut
+};
+
+std::string_view nameOf(ConnectResult Value);
+
 /// Checks whether a process accepts TCP connections at an address. No request
 /// is sent, so a server that is slow under load still passes the check.
 class ConnectCheck {
 public:
-  using ResultHook = std::function<void(bool IsAccepting)>;
+  using ResultHook = std::function<void(ConnectResult)>;
 
   explicit ConnectCheck(EventLoop &Loop);
   ~ConnectCheck();
--- a/src/flow_steering.cpp
+++ b/src/flow_steering.cpp
@@ -239,7 +239,9 @@
       return {SteeringAction::Drop, SteeringReason::NoRoute, nullptr};
     uncountFlow(*Flow);
     Flows.erase(Packet.Flow);
-    return {SteeringAction::Reset, SteeringReason::RouteRemoved, nullptr};
+    return {.Action = SteeringAction::Reset,
+            .Reason = SteeringReason::RouteRemoved,
+            .Evidence = ResetEvidence{ResetCause::RouteRemoved}};
   }
   if (Flow == nullptr)
     return adoptFlow(Packet);
--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -99,7 +99,9 @@
   SteeringDecision steer(const PacketHeader &Packet);
 
   /// Processes the result of a check that OnCheckNeeded requested.
-  void recordCheckResult(UpstreamId Id, bool IsAccepting);
+  /// \p FailureCause tells how it failed.
+  void recordCheckResult(UpstreamId Id, bool IsAccepting,
+                         ResetCause FailureCause = ResetCause::CheckTimedOut);
 
   /// Processes evidence that another instance of the zone reported.
   void recordPeerEvidence(const PeerReport &Report);
@@ -182,12 +184,15 @@
   /// Whether a flow may be reset although its upstream may only be silent.
   bool mayResetOnSuspicion(const FlowAddress &Flow) const;
   void requestCheckIfDue(Upstream &Target);
+  /// Returns why the flows of an upstream are reset; nothing if they are not.
+  using EvidenceQuery =
+      std::function<std::optional<ResetEvidence>(const Upstream &)>;
   /// Resets the open flows of some upstreams that are idle or whose requests
   /// are idempotent.
-  void resetFlowsOf(const std::function<bool(const Upstream &)> &IsAffected);
+  void resetFlowsOf(const EvidenceQuery &EvidenceAgainst);
   /// Resets an open flow that sent no packet now.
   void resetFlow(const FlowAddress &Address, SteeredFlow &Flow,
-                 Upstream &Target);
+                 Upstream &Target, const ResetEvidence &Evidence);
   /// Resets the flows of a dead upstream whose clients wait for an answer.
   void resetWaitingFlows(Upstream &DeadUpstream);
   Upstream *choose(const std::string &Service, const NewFlow &FlowToOpen,
--- a/src/flow_steering_resets.cpp
+++ b/src/flow_steering_resets.cpp
@@ -13,16 +13,32 @@
 // network connection works.
 constexpr Duration RecentAnswerWindow = std::chrono::milliseconds(500);
 
+// Why flows of the upstream are reset for this reason.
+ResetEvidence evidenceOf(SteeringReason Reason, const Upstream &Target,
+                         TimePoint Now) {
+  const std::optional<Duration> SinceAnswer =
+      Target.Reachability.sinceAnswer(Now);
+  if (Reason == SteeringReason::AddressReused)
+    return {ResetCause::AddressReused, Now - Target.UnregisteredAt,
+            SinceAnswer};
+  if (Reason == SteeringReason::UpstreamGone)
+    return {ResetCause::MissingFromStore, Now - Target.UnregisteredAt,
+            SinceAnswer};
+  const ReachabilityTracker::Verdict &Found = Target.Reachability.lastVerdict();
+  return {Found.Cause, Now - Found.FoundAt, SinceAnswer};
+}
+
 } // namespace
 
 // A failed check is ignored if no upstream answered recently: the fault is then
 // more likely on this instance's side.
-void FlowSteering::recordCheckResult(UpstreamId Id, bool IsAccepting) {
+void FlowSteering::recordCheckResult(UpstreamId Id, bool IsAccepting,
+                                     ResetCause FailureCause) {
   const TimePoint Now = TimeSource.now();
   Upstream *Target = Upstreams.find(Id);
   if (Target != nullptr &&
       (IsAccepting || Now - LastAnswerFromAnyUpstream <= RecentAnswerWindow))
-    Target->Reachability.recordCheckResult(IsAccepting, Now);
+    Target->Reachability.recordCheckResult(IsAccepting, Now, FailureCause);
   if (Target == nullptr || !Target->Reachability.isDead(Now))
     return;
   HasNewDeadUpstream = true;
@@ -36,6 +52,8 @@
 // attempt, since the intervals between retransmissions double.
 void FlowSteering::resetWaitingFlows(Upstream &DeadUpstream) {
   const UpstreamId Id = DeadUpstream.Registration.Id;
+  const ResetEvidence Evidence =
+      evidenceOf(SteeringReason::UpstreamDead, DeadUpstream, TimeSource.now());
   const auto [Begin, End] = RetransmittingFlows.equal_range(Id);
   for (auto It = Begin; It != End; ++It) {
     SteeredFlow *Flow = Flows.find(It->second);
@@ -43,18 +61,20 @@
         Flow->CurrentPhase != SteeredFlow::Phase::Open ||
         !mayResetOnSuspicion(It->second))
       continue;
-    resetFlow(It->second, *Flow, DeadUpstream);
+    resetFlow(It->second, *Flow, DeadUpstream, Evidence);
   }
   RetransmittingFlows.erase(Begin, End);
 }
 
 void FlowSteering::resetFlow(const FlowAddress &Address, SteeredFlow &Flow,
-                             Upstream &Target) {
+                             Upstream &Target, const ResetEvidence &Evidence) {
   PacketHeader Packet;
   Packet.Flow = Address;
   Packet.AckNumber = Flow.HighestAck;
-  const SteeringDecision Decision{SteeringAction::Reset,
-                                  SteeringReason::UpstreamDead, &Target};
+  const SteeringDecision Decision{.Action = SteeringAction::Reset,
+                                  .Reason = SteeringReason::UpstreamDead,
+                                  .Target = &Target,
+                                  .Evidence = Evidence};
   setPhase(Flow, SteeredFlow::Phase::Closing);
   Metrics.countDecision(Decision);
   FlowHooks.OnReset(Packet, Decision);
@@ -63,24 +83,26 @@
 // The client of an idle flow sends its next request to a silent upstream unless
 // the flow is reset before. A waiting request that is not idempotent is left
 // alone, since its client would not send it again.
-void FlowSteering::resetFlowsOf(
-    const std::function<bool(const Upstream &)> &IsAffected) {
+void FlowSteering::resetFlowsOf(const EvidenceQuery &EvidenceAgainst) {
   Flows.forEach([&](const FlowAddress &Address, SteeredFlow &Flow) {
     Upstream *Target = Upstreams.find(Flow.Upstream);
-    if (Target == nullptr || !IsAffected(*Target) ||
-        Flow.CurrentPhase != SteeredFlow::Phase::Open)
+    if (Target == nullptr || Flow.CurrentPhase != SteeredFlow::Phase::Open)
       return;
+    const std::optional<ResetEvidence> Evidence = EvidenceAgainst(*Target);
     const bool IsIdle = !Flow.RequestSentAt;
-    if (IsIdle || mayResetOnSuspicion(Address))
-      resetFlow(Address, Flow, *Target);
+    if (Evidence && (IsIdle || mayResetOnSuspicion(Address)))
+      resetFlow(Address, Flow, *Target, *Evidence);
   });
 }
 
 void FlowSteering::resetFlowsOfDeadUpstreams() {
   if (!std::exchange(HasNewDeadUpstream, false) || !Opts.Checks.ResetIdleFlows)
     return;
-  resetFlowsOf([Now = TimeSource.now()](const Upstream &Target) {
-    return Target.Reachability.isDead(Now);
+  resetFlowsOf([Now = TimeSource.now()](
+                   const Upstream &Target) -> std::optional<ResetEvidence> {
+    if (!Target.Reachability.isDead(Now))
+      return std::nullopt;
+    return evidenceOf(SteeringReason::UpstreamDead, Target, Now);
   });
 }
 
@@ -89,9 +111,13 @@
   for (Upstream *Silent : Upstreams.upstreamsOfZone(Opts.Zone))
     Silent->Reachability.recordOpenTimeout(Now);
   if (Opts.Checks.ResetFlowsOfSilentZone)
-    resetFlowsOf([this](const Upstream &Target) {
-      return Target.Registration.Zone == Opts.Zone;
-    });
+    resetFlowsOf(
+        [this, Now](const Upstream &Target) -> std::optional<ResetEvidence> {
+          if (Target.Registration.Zone != Opts.Zone)
+            return std::nullopt;
+          return ResetEvidence{ResetCause::ZoneSilent, Duration(),
+                               Target.Reachability.sinceAnswer(Now)};
+        });
 }
 
 void FlowSteering::recordPeerEvidence(const PeerReport &Report) {
@@ -147,7 +173,10 @@
     return {SteeringAction::Drop, *ResetReason, &Target};
   if (SteeredFlow *Flow = Flows.find(Packet.Flow))
     setPhase(*Flow, SteeredFlow::Phase::Closing);
-  return {SteeringAction::Reset, *ResetReason, &Target};
+  return {.Action = SteeringAction::Reset,
+          .Reason = *ResetReason,
+          .Target = &Target,
+          .Evidence = evidenceOf(*ResetReason, Target, TimeSource.now())};
 }
 
 } // namespace indigopoint
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -62,7 +62,7 @@
   std::string openReport();
   ForwarderView view() const;
   void startCheck(const Upstream &Suspect);
-  void onCheckResult(UpstreamId Id, bool IsAccepting);
+  void onCheckResult(UpstreamId Id, ConnectResult Result);
   void startReceiving();
   void receive(std::string_view Datagram);
   /// Steers and sends a packet. Returns whether it must be held.
@@ -203,8 +203,8 @@
                  return Steering.placementOf(Flow);
                }}),
       Checks(Loop, this->Settings.Policy.Checks.UseReference,
-             [this](UpstreamId Id, bool IsAccepting) {
-               onCheckResult(Id, IsAccepting);
+             [this](UpstreamId Id, ConnectResult Result) {
+               onCheckResult(Id, Result);
              }),
       DataSocket(this->Protocol.MaxPacketBytes), ReadinessServer(Loop),
       ReportServer(Loop, ReportIdleTimeout) {}
@@ -291,11 +291,14 @@
     Checks.start(Suspect, *ReferenceUpstream);
 }
 
-void Forwarder::Impl::onCheckResult(UpstreamId Id, bool IsAccepting) {
+void Forwarder::Impl::onCheckResult(UpstreamId Id, ConnectResult Result) {
   TimeSource.refresh();
-  Steering.recordCheckResult(Id, IsAccepting);
+  Steering.recordCheckResult(Id, Result == ConnectResult::Accepted,
+                             Result == ConnectResult::Refused
+                                 ? ResetCause::CheckRefused
+                                 : ResetCause::CheckTimedOut);
   DataSocket.flush();
-  FlowLog.writeCheckResult(Id, IsAccepting, Upstreams.find(Id));
+  FlowLog.writeCheckResult(Id, Result, Upstreams.find(Id));
 }
 
 void Forwarder::Impl::startReceiving() {
--- a/src/forwarder_log.cpp
+++ b/src/forwarder_log.cpp
@@ -46,12 +46,13 @@
   });
 }
 
-void ForwarderLog::writeCheckResult(UpstreamId Id, bool IsAccepting,
+void ForwarderLog::writeCheckResult(UpstreamId Id, ConnectResult Result,
                                     const Upstream *Checked) {
   Log.write(LogEvent::UpstreamChecked, [&] {
     EventLog::Fields Line = {
         {"upstream", toHex(Id)},
-        {"accepting", IsAccepting},
+        {"accepting", Result == ConnectResult::Accepted},
+        {"result", nameOf(Result)},
         {"dead",
          Checked != nullptr && Checked->Reachability.isDead(TimeSource.now())}};
     Line.update(storeStateFields());
--- a/src/forwarder_log.h
+++ b/src/forwarder_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connect_check.h"
 #include "event_log.h"
 #include "route_table.h"
 #include "steering_decision.h"
@@ -28,7 +29,7 @@
   /// \p EvidenceSource tells who found the evidence.
   void writeUnresponsive(const Upstream &Target, const char *EvidenceSource);
   /// \p Checked is null if the upstream is unknown by now.
-  void writeCheckResult(UpstreamId Id, bool IsAccepting,
+  void writeCheckResult(UpstreamId Id, ConnectResult Result,
                         const Upstream *Checked);
 
   /// The configuration in force and the state of the store's data.
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -80,6 +80,12 @@
                      {"reason", std::string(nameOf(R))}},
                     Count);
     }
+  for (size_t Index = 0; Index < ResetCauseCount; ++Index) {
+    const auto Cause = static_cast<ResetCause>(Index);
+    Out.counter("indigopoint_flow_resets_total", "Open flows reset by cause.",
+                {{"cause", std::string(nameOf(Cause))}},
+                View.Metrics.flowResets(Cause));
+  }
   Out.counter("indigopoint_flow_tag_conflicts_total",
               "Open flows of which a packet named another upstream.", {},
               View.Metrics.TagConflicts);
--- a/src/reachability_tracker.cpp
+++ b/src/reachability_tracker.cpp
@@ -67,7 +67,8 @@
 // address may belong to an upstream of another service, which ignores the
 // packets of this one's flows. It only ends the reasons for a check and a
 // failed verdict.
-void ReachabilityTracker::recordCheckResult(bool IsAccepting, TimePoint Now) {
+void ReachabilityTracker::recordCheckResult(bool IsAccepting, TimePoint Now,
+                                            ResetCause FailureCause) {
   if (IsAccepting) {
     HasRetransmission = false;
     HasOpenTimeout = false;
@@ -75,9 +76,23 @@
   } else if (LastAnswer < LastCheck) {
     // An answer since the start of the check outweighs its failure.
     DeadUntil = Now + Opts->FailedCheckLifetime;
+    LastVerdict = {FailureCause, Now};
   }
 }
 
+// A check of this instance tells more of the cause than what others found.
+void ReachabilityTracker::recordPeerVerdict(TimePoint Now) {
+  if (!isDead(Now))
+    LastVerdict = {ResetCause::AgreedByPeers, Now};
+  DeadUntil = Now + Opts->FailedCheckLifetime;
+}
+
+std::optional<Duration> ReachabilityTracker::sinceAnswer(TimePoint Now) const {
+  if (LastAnswer == TimePoint())
+    return std::nullopt;
+  return Now - LastAnswer;
+}
+
 void ReachabilityTracker::recordOpening(TimePoint Now) {
   if (PendingOpenings++ == 0)
     WaitStartedAt = Now;
--- a/src/reachability_tracker.h
+++ b/src/reachability_tracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy_options.h"
+#include "reset_evidence.h"
 #include "types.h"
 
 namespace indigopoint {
@@ -42,13 +43,13 @@
   /// at most once a second.
   bool startCheckIfDue(TimePoint Now);
 
-  /// Records whether a check found that the upstream accepts connections.
-  void recordCheckResult(bool IsAccepting, TimePoint Now);
+  /// Records whether a check found that the upstream accepts connections, and
+  /// if not, how it failed.
+  void recordCheckResult(bool IsAccepting, TimePoint Now,
+                         ResetCause FailureCause);
 
   /// Records that other instances found that the upstream has stopped.
-  void recordPeerVerdict(TimePoint Now) {
-    DeadUntil = Now + Opts->FailedCheckLifetime;
-  }
+  void recordPeerVerdict(TimePoint Now);
 
   /// Whether new flows should go to other upstreams.
   bool isSuspect(TimePoint Now) const {
@@ -63,8 +64,18 @@
   /// reset. A suspect upstream keeps its open flows, but new flows avoid it.
   bool isDead(TimePoint Now) const { return Now < DeadUntil; }
 
+  /// Why the upstream was last found dead, and when.
+  struct Verdict {
+    ResetCause Cause = ResetCause::CheckTimedOut;
+    TimePoint FoundAt{};
+  };
+  const Verdict &lastVerdict() const { return LastVerdict; }
+
   TimePoint lastAnswer() const { return LastAnswer; }
 
+  /// Time since the last answer; nothing if there was none.
+  std::optional<Duration> sinceAnswer(TimePoint Now) const;
+
 private:
   const ReachabilityOptions *Opts;
   TimePoint LastAnswer{};
@@ -81,6 +92,7 @@
   bool HasOpenTimeout = false;
   TimePoint LastCheck{};
   TimePoint DeadUntil{};
+  Verdict LastVerdict;
 };
 
 /// An upstream that does not answer an opening packet within this time is
--- a/src/steering_decision.h
+++ b/src/steering_decision.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "packet.h"
+#include "reset_evidence.h"
 
 namespace indigopoint {
 
@@ -76,6 +77,8 @@
   /// Whether a dropped packet may be steered again once more is known of its
   /// flow.
   bool MayHold = false;
+  /// Why an open flow is reset.
+  std::optional<ResetEvidence> Evidence{};
 };
 
 } // namespace indigopoint
--- a/src/steering_log.cpp
+++ b/src/steering_log.cpp
@@ -4,6 +4,19 @@
 
 namespace indigopoint {
 
+namespace {
+
+EventLog::Fields describeEvidence(const ResetEvidence &Evidence) {
+  EventLog::Fields LogFields = {{"cause", nameOf(Evidence.Cause)}};
+  if (Evidence.Age)
+    LogFields["evidenceAgeMs"] = millisecondsOf(*Evidence.Age);
+  if (Evidence.SinceAnswer)
+    LogFields["sinceAnswerMs"] = millisecondsOf(*Evidence.SinceAnswer);
+  return LogFields;
+}
+
+} // namespace
+
 std::optional<LogEvent> logEventOf(const SteeringDecision &Decision) {
   if (Decision.Action == SteeringAction::Reset)
     return LogEvent::FlowReset;
@@ -33,6 +46,8 @@
   }
   if (Decision.Action != SteeringAction::Forward)
     LogFields["tag"] = Packet.Tag.value();
+  if (Decision.Evidence)
+    LogFields.update(describeEvidence(*Decision.Evidence));
   return LogFields;
 }
 
--- a/src/steering_log.h
+++ b/src/steering_log.h
@@ -13,8 +13,8 @@
 std::optional<LogEvent> logEventOf(const SteeringDecision &Decision);
 
 /// The log fields of a decision: the flow, the reason, the upstream if there is
-/// one, the inputs of a refusal because of overload, and the packet's tag if
-/// the packet was not forwarded.
+/// one, the packet's tag if the packet was not forwarded, and the evidence for
+/// the reset of an open flow.
 EventLog::Fields describe(const PacketHeader &Packet,
                           const SteeringDecision &Decision);
 
--- a/src/steering_metrics.cpp
+++ b/src/steering_metrics.cpp
@@ -12,6 +12,12 @@
 void SteeringMetrics::countDecision(const SteeringDecision &Decision) {
   ++Decisions[static_cast<size_t>(Decision.Action)]
              [static_cast<size_t>(Decision.Reason)];
+  if (Decision.Evidence)
+    ++FlowResets[static_cast<size_t>(Decision.Evidence->Cause)];
+}
+
+uint64_t SteeringMetrics::flowResets(ResetCause Cause) const {
+  return FlowResets[static_cast<size_t>(Cause)];
 }
 
 uint64_t SteeringMetrics::decisions(SteeringAction Action,
--- a/src/steering_metrics.h
+++ b/src/steering_metrics.h
@@ -30,6 +30,8 @@
   void countDecision(const SteeringDecision &Decision);
   /// The number of decisions with this action and reason.
   uint64_t decisions(SteeringAction Action, SteeringReason Reason) const;
+  /// The number of open flows that were reset for this cause.
+  uint64_t flowResets(ResetCause Cause) const;
 
   /// The metrics of a service. Services beyond a limit share one entry, so that
   /// registrations of many services cannot grow the table without bound.
@@ -48,6 +50,7 @@
 private:
   std::array<std::array<uint64_t, SteeringReasonCount>, SteeringActionCount>
       Decisions{};
+  std::array<uint64_t, ResetCauseCount> FlowResets{};
   std::map<std::string, ServiceFlowMetrics> Services;
 };
 
--- a/src/upstream_check.cpp
+++ b/src/upstream_check.cpp
@@ -1,5 +1,6 @@
 #include "upstream_check.h"
 
+#include <algorithm>
 #include <memory>
 
 namespace indigopoint {
@@ -14,7 +15,8 @@
 struct UpstreamCheck::PendingCheck {
   UpstreamId Id;
   int PendingConnections = 0;
-  bool IsSuspectAccepting = false;
+  /// The result of the more successful one of two connections.
+  ConnectResult SuspectResult = ConnectResult::TimedOut;
   bool IsReferenceAccepting = false;
 };
 
@@ -25,8 +27,8 @@
   Check->Id = Suspect.Registration.Id;
   Check->IsReferenceAccepting = !UseReference;
   Check->PendingConnections = UseReference ? 3 : 2;
-  const auto OnSuspectResult = [this, Check](bool IsAccepting) {
-    Check->IsSuspectAccepting |= IsAccepting;
+  const auto OnSuspectResult = [this, Check](ConnectResult Result) {
+    Check->SuspectResult = std::min(Check->SuspectResult, Result);
     onConnectionResult(*Check);
   };
   ConnectionCheck.start(Suspect.Registration.Address, CheckTimeout,
@@ -36,8 +38,9 @@
   if (!UseReference)
     return;
   ConnectionCheck.start(Reference.Registration.Address, CheckTimeout,
-                        [this, Check](bool IsAccepting) {
-                          Check->IsReferenceAccepting = IsAccepting;
+                        [this, Check](ConnectResult Result) {
+                          Check->IsReferenceAccepting =
+                              Result == ConnectResult::Accepted;
                           onConnectionResult(*Check);
                         });
 }
@@ -45,8 +48,9 @@
 void UpstreamCheck::onConnectionResult(PendingCheck &Check) {
   if (--Check.PendingConnections > 0)
     return;
-  if (Check.IsSuspectAccepting || Check.IsReferenceAccepting)
-    OnResult(Check.Id, Check.IsSuspectAccepting);
+  if (Check.SuspectResult == ConnectResult::Accepted ||
+      Check.IsReferenceAccepting)
+    OnResult(Check.Id, Check.SuspectResult);
 }
 
 } // namespace indigopoint
--- a/src/upstream_check.h
+++ b/src/upstream_check.h
@@ -11,7 +11,7 @@
 /// reference upstream that answered recently.
 class UpstreamCheck {
 public:
-  using ResultHook = std::function<void(UpstreamId, bool IsAccepting)>;
+  using ResultHook = std::function<void(UpstreamId, ConnectResult)>;
 
   /// Without \p UseReference, a failed connection alone fails the check.
   UpstreamCheck(EventLoop &Loop, bool UseReference, ResultHook OnResult)
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -233,6 +233,7 @@
        {"# TYPE indigopoint_packets_total counter\n",
         "indigopoint_packets_total{action=\"forward\",reason=\"new-flow\"} 1",
         "indigopoint_flows_opened_total{service=\"chat\",zone=\"own\"} 1",
+        "indigopoint_flow_resets_total{cause=\"zone-silent\"} 0",
         "# TYPE indigopoint_open_seconds histogram\n",
         "indigopoint_upstreams{state=\"ready\"} 1",
         "indigopoint_configuration_version 1"})
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -123,6 +124,7 @@
   std::vector<uint64_t> TimedOutUpstreams;
   std::vector<uint64_t> CheckedUpstreams;
   std::vector<PacketHeader> ResetFlows;
+  std::vector<std::pair<PacketHeader, SteeringDecision>> Resets;
   FlowSteering Steering{
       {"a", makeZoneAwareLeastFlowsPolicy("a"), {}, {}, {}, nullptr},
       TimeSource,
@@ -135,8 +137,9 @@
        [this](const Upstream &Target) {
          CheckedUpstreams.push_back(Target.Registration.Id.value());
        },
-       [this](const PacketHeader &Packet, const SteeringDecision &) {
+       [this](const PacketHeader &Packet, const SteeringDecision &Decision) {
          ResetFlows.push_back(Packet);
+         Resets.emplace_back(Packet, Decision);
        },
        [this] { return IsOutdated; }}};
   uint64_t Revision = 0;
--- a/tests/steering_log_test.cpp
+++ b/tests/steering_log_test.cpp
@@ -147,6 +147,7 @@
   EXPECT_TRUE(Line.contains("flow"));
   EXPECT_EQ(Line.contains("upstream"), Decision.Target != nullptr);
   EXPECT_EQ(Line.contains("tag"), Decision.Action != SteeringAction::Forward);
+  EXPECT_EQ(Line.contains("cause"), Decision.Evidence.has_value());
 }
 
 INSTANTIATE_TEST_SUITE_P(AllReasons, SteeringReasonLogTest,
@@ -161,6 +162,83 @@
             toHex(Decision.Target->Registration.Id));
 }
 
+struct ResetCase {
+  ResetCause Cause;
+  // Null if the line has no such field.
+  EventLog::Fields EvidenceAgeMs;
+  EventLog::Fields SinceAnswerMs;
+};
+
+class ResetCauseLogTest : public SteeringLogTest,
+                          public testing::WithParamInterface<ResetCase> {
+protected:
+  void failCheck(UpstreamId Id, ResetCause Cause) {
+    open(2, PhotoAddress);
+    ReachabilityTracker &Reachability = Upstreams.find(Id)->Reachability;
+    Reachability.recordOpenTimeout(TimeSource.now());
+    Reachability.startCheckIfDue(TimeSource.now());
+    Steering.recordCheckResult(Id, false, Cause);
+    reportStop(Id);
+  }
+
+  void reportStop(UpstreamId Id) {
+    for (const uint32_t Sender : {1U, 2U}) {
+      PeerReport Report{{Sender, 7000}, "a", 1, {}};
+      Report.Evidence.push_back({Id, 0, {}, true});
+      Steering.recordPeerEvidence(Report);
+    }
+  }
+
+  // Opens a flow, whose upstream then does not answer, and resets it.
+  void resetFor(ResetCause Cause) {
+    if (Cause == ResetCause::MissingFromStore)
+      return void(runUpstreamGoneCase());
+    if (Cause == ResetCause::AddressReused)
+      return void(runAddressReusedCase());
+    if (Cause == ResetCause::RouteRemoved)
+      return void(runRouteRemovedCase());
+    const UpstreamId Id(open(1));
+    TimeSource.advance(500ms);
+    if (Cause == ResetCause::ZoneSilent)
+      return Steering.leaveSilentZone();
+    if (Cause == ResetCause::AgreedByPeers)
+      reportStop(Id);
+    else
+      failCheck(Id, Cause);
+    TimeSource.advance(50ms);
+    Steering.resetFlowsOfDeadUpstreams();
+  }
+};
+
+// Guards against a reset that does not tell what it was based on, and against
+// reports that hide the failed check of this instance.
+TEST_P(ResetCauseLogTest, IsLoggedAndCountedWithItsEvidence) {
+  const ResetCase &Case = GetParam();
+  resetFor(Case.Cause);
+  for (const auto &[Packet, Decision] : Resets)
+    write(Packet, Decision);
+  const std::vector<EventLog::Fields> Lines = popLines();
+  ASSERT_FALSE(Lines.empty());
+  const EventLog::Fields &Line = Lines.back();
+  EXPECT_EQ(Line.at("event"), "flow-reset");
+  EXPECT_EQ(Line.at("cause"), nameOf(Case.Cause));
+  EXPECT_EQ(Line.value("evidenceAgeMs", EventLog::Fields()),
+            Case.EvidenceAgeMs);
+  EXPECT_EQ(Line.value("sinceAnswerMs", EventLog::Fields()),
+            Case.SinceAnswerMs);
+  EXPECT_GE(Metrics.flowResets(Case.Cause), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    AllCauses, ResetCauseLogTest,
+    testing::Values(ResetCase{ResetCause::CheckRefused, 50, 557},
+                    ResetCase{ResetCause::CheckTimedOut, 50, 557},
+                    ResetCase{ResetCause::AgreedByPeers, 50, 550},
+                    ResetCase{ResetCause::ZoneSilent, 0, 500},
+                    ResetCase{ResetCause::MissingFromStore, 3000, 3000},
+                    ResetCase{ResetCause::AddressReused, 0, 0},
+                    ResetCase{ResetCause::RouteRemoved, {}, {}}));
+
 // Guards against a flood of new flows that writes an unlimited number of lines.
 TEST_F(SteeringLogTest, LinesOfAFlowFloodAreLimited) {
   const uint32_t Limit = EventLog::Options{}.LinesPerSecond;
