Say how late the process is, and what it waited for

Change: TimerLateness records how late the maintenance timer fires: lateMs in these lines, in upstream-checked and in resets of open flows, a histogram and a maximum in the metrics. No timer is added. store-lost tells how long the call lasted and how many bytes came, upstreams-lost how many upstreams were waited for, for how long, and the time since the last answers of the own and of the other zones.

--- a/src/flow_steering_resets.cpp
+++ b/src/flow_steering_resets.cpp
@@ -5,6 +5,8 @@
 
 #include <utility>
 
+#include "time_since.h"
+
 namespace indigopoint {
 
 namespace {
@@ -16,8 +18,7 @@
 // Why flows of the upstream are reset for this reason.
 ResetEvidence evidenceOf(SteeringReason Reason, const Upstream &Target,
                          TimePoint Now) {
-  const std::optional<Duration> SinceAnswer =
-      Target.Reachability.sinceAnswer(Now);
+  const auto SinceAnswer = timeSince(Target.Reachability.lastAnswer(), Now);
   if (Reason == SteeringReason::AddressReused)
     return {ResetCause::AddressReused, Now - Target.UnregisteredAt,
             SinceAnswer};
@@ -111,13 +112,13 @@
   for (Upstream *Silent : Upstreams.upstreamsOfZone(Opts.Zone))
     Silent->Reachability.recordOpenTimeout(Now);
   if (Opts.Checks.ResetFlowsOfSilentZone)
-    resetFlowsOf(
-        [this, Now](const Upstream &Target) -> std::optional<ResetEvidence> {
-          if (Target.Registration.Zone != Opts.Zone)
-            return std::nullopt;
-          return ResetEvidence{ResetCause::ZoneSilent, Duration(),
-                               Target.Reachability.sinceAnswer(Now)};
-        });
+    resetFlowsOf([this,
+                  Now](const Upstream &Target) -> std::optional<ResetEvidence> {
+      if (Target.Registration.Zone != Opts.Zone)
+        return std::nullopt;
+      return ResetEvidence{ResetCause::ZoneSilent, Duration(),
+                           timeSince(Target.Reachability.lastAnswer(), Now)};
+    });
 }
 
 void FlowSteering::recordPeerEvidence(const PeerReport &Report) {
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -91,6 +91,8 @@
   RouteTable Routes;
   UpstreamRegistry Upstreams;
   SteeringMetrics Metrics;
+  /// Of the maintenance timer.
+  TimerLateness Lateness{MaintenancePeriod};
   ReachabilityGate Gate;
   bool WasReachable = true;
   /// How often no upstream was reachable any more.
@@ -188,8 +190,9 @@
                 [this] { return Routes.version(); },
                 [this](const StoreItem &Known, const StoreItem *Restored) {
                   return UpdateApplier.supersedes(Known, Restored);
-                }}),
-      FlowLog(Log, TimeSource, Routes, Follower),
+                },
+                [this] { return Lateness.recentMax(TimeSource.now()); }}),
+      FlowLog(Log, TimeSource, Routes, Follower, Lateness),
       Reports(Loop,
               {this->Settings.ReportAddress, this->Settings.PeerAddress,
                this->Settings.Zone},
@@ -282,7 +285,8 @@
           TimeSource.now(),
           Reports.counters(),
           UpstreamLosses,
-          Spill};
+          Spill,
+          Lateness};
 }
 
 void Forwarder::Impl::startCheck(const Upstream &Suspect) {
@@ -315,8 +319,7 @@
   TimeSource.refresh();
   if (!Pauses.recordActivity(TimeSource.now()))
     return;
-  Log.write(LogEvent::PauseNoticed,
-            [this] { return FlowLog.storeStateFields(); });
+  FlowLog.writePause();
   Gate.discardWaits();
   Follower.confirmNow();
 }
@@ -385,6 +388,7 @@
 
 void Forwarder::Impl::maintain() {
   recordActivity();
+  Lateness.recordFiring(TimeSource.now());
   Upstreams.recordStoreSync(Follower.sync().confirmedAt());
   UpdateApplier.applyDue();
   updateGate();
@@ -416,12 +420,7 @@
   WasReachable = IsReachable;
   if (!IsReachable)
     ++UpstreamLosses;
-  Log.write(IsReachable ? LogEvent::UpstreamsRegained : LogEvent::UpstreamsLost,
-            [this] {
-              EventLog::Fields Line = FlowLog.storeStateFields();
-              Line["zoneSilent"] = Gate.isZoneSilent();
-              return Line;
-            });
+  FlowLog.writeReachability(Gate, IsReachable);
 }
 
 void Forwarder::Impl::stop() {
--- a/src/forwarder_log.cpp
+++ b/src/forwarder_log.cpp
@@ -11,6 +11,12 @@
   return Out;
 }
 
+EventLog::Fields ForwarderLog::processStateFields() const {
+  EventLog::Fields Out = storeStateFields();
+  Out["lateMs"] = millisecondsOf(Lateness.recentMax(TimeSource.now()));
+  return Out;
+}
+
 void ForwarderLog::writeDecision(const PacketHeader &Packet,
                                  const SteeringDecision &Decision) {
   const auto Event = logEventOf(Decision);
@@ -18,7 +24,7 @@
     return;
   Log.write(*Event, [&] {
     EventLog::Fields Line = describe(Packet, Decision);
-    Line.update(storeStateFields());
+    Line.update(Decision.Evidence ? processStateFields() : storeStateFields());
     return Line;
   });
 }
@@ -55,9 +61,28 @@
         {"result", nameOf(Result)},
         {"dead",
          Checked != nullptr && Checked->Reachability.isDead(TimeSource.now())}};
-    Line.update(storeStateFields());
+    Line.update(processStateFields());
+    return Line;
+  });
+}
+
+void ForwarderLog::writeReachability(const ReachabilityGate &Gate,
+                                     bool IsReachable) {
+  if (IsReachable) {
+    Log.write(LogEvent::UpstreamsRegained,
+              [this] { return storeStateFields(); });
+    return;
+  }
+  Log.write(LogEvent::UpstreamsLost, [&] {
+    EventLog::Fields Line = processStateFields();
+    Line["zoneSilent"] = Gate.isZoneSilent();
+    Line.update(describeSilence(Gate.silence(TimeSource.now())));
     return Line;
   });
 }
 
+void ForwarderLog::writePause() {
+  Log.write(LogEvent::PauseNoticed, [this] { return processStateFields(); });
+}
+
 } // namespace indigopoint
--- a/src/forwarder_log.h
+++ b/src/forwarder_log.h
@@ -2,8 +2,10 @@
 
 #include "connect_check.h"
 #include "event_log.h"
+#include "reachability_gate.h"
 #include "route_table.h"
 #include "steering_decision.h"
+#include "timer_lateness.h"
 #include "upstream_registry.h"
 
 namespace indigopoint {
@@ -15,8 +17,9 @@
 class ForwarderLog {
 public:
   ForwarderLog(EventLog &Log, const Clock &TimeSource, const RouteTable &Routes,
-               const StoreFollower &Follower)
-      : Log(Log), TimeSource(TimeSource), Routes(Routes), Follower(Follower) {}
+               const StoreFollower &Follower, const TimerLateness &Lateness)
+      : Log(Log), TimeSource(TimeSource), Routes(Routes), Follower(Follower),
+        Lateness(Lateness) {}
 
   /// Writes a line unless the decision only repeats an earlier one.
   void writeDecision(const PacketHeader &Packet,
@@ -32,14 +35,21 @@
   void writeCheckResult(UpstreamId Id, ConnectResult Result,
                         const Upstream *Checked);
 
+  /// Writes that routers should send clients elsewhere, or here again.
+  void writeReachability(const ReachabilityGate &Gate, bool IsReachable);
+  void writePause();
+
+private:
   /// The configuration in force and the state of the store's data.
   EventLog::Fields storeStateFields() const;
+  /// Those fields, and how late the process is.
+  EventLog::Fields processStateFields() const;
 
-private:
   EventLog &Log;
   const Clock &TimeSource;
   const RouteTable &Routes;
   const StoreFollower &Follower;
+  const TimerLateness &Lateness;
 };
 
 } // namespace indigopoint
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -179,6 +179,12 @@
     Out.counter("indigopoint_peer_reports_total",
                 "Reports between the instances of the zone.",
                 {{"result", Result}}, Count);
+  Out.gauge("indigopoint_timer_late_max_seconds",
+            "Longest time by which the maintenance timer fired late.", {},
+            secondsOf(View.Lateness.max()));
+  Out.histogram("indigopoint_timer_late_seconds",
+                "Time by which the maintenance timer fired late.", {},
+                View.Lateness.histogram(), View.Lateness.sum());
   Out.counter("indigopoint_log_lines_suppressed_total",
               "Log lines over the rate or size.", {}, View.Log.suppressed());
 }
--- a/src/forwarder_report.h
+++ b/src/forwarder_report.h
@@ -8,6 +8,7 @@
 #include "spillover.h"
 #include "steering_metrics.h"
 #include "store_follower.h"
+#include "timer_lateness.h"
 #include "upstream_registry.h"
 
 namespace indigopoint {
@@ -29,6 +30,7 @@
   /// How often no upstream was reachable any more.
   uint64_t UpstreamLosses = 0;
   const Spillover &Spill;
+  const TimerLateness &Lateness;
 };
 
 /// Counters, gauges and histograms in the Prometheus text format.
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
@@ -65,6 +66,7 @@
     HttpResult Result;
     bool IsFinished = false;
     bool IsTooLarge = false;
+    size_t ReceivedBytes = 0;
   };
 
   explicit Impl(EventLoop &Loop) : Loop(Loop) {}
@@ -80,6 +82,10 @@
     Call.Owner->finish(Call, std::move(Result));
   }
 
+  static void onInput(evbuffer *, const evbuffer_cb_info *Info, void *Context) {
+    static_cast<PendingCall *>(Context)->ReceivedBytes += Info->n_added;
+  }
+
   // Called before onResponse.
   static void onError(evhttp_request_error Error, void *Context) {
     static_cast<PendingCall *>(Context)->IsTooLarge =
@@ -105,6 +111,9 @@
     return;
   }
   evhttp_request_set_error_cb(Request, onError);
+  evbuffer_add_cb(
+      bufferevent_get_input(evhttp_connection_get_bufferevent(Call.Connection)),
+      onInput, &Call);
   evhttp_connection_set_max_body_size(Call.Connection, MaxBodyBytes);
   if (Parameters.IdleTimeout > Duration()) {
     const timeval IdleTimeout = toTimeval(Parameters.IdleTimeout);
@@ -129,6 +138,7 @@
     return;
   Call.IsFinished = true;
   Call.Result = std::move(Result);
+  Call.Result.ReceivedBytes = Call.ReceivedBytes;
   const bool First = FinishedCalls.empty();
   FinishedCalls.splice(FinishedCalls.end(), Calls, Call.Position);
   if (First)
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -35,6 +35,8 @@
   /// Whether the call failed because the response was larger than the client
   /// accepts. The same call would fail again.
   bool IsTooLarge = false;
+  /// Bytes that arrived, also if the call failed.
+  size_t ReceivedBytes = 0;
 };
 
 /// Makes HTTP calls on an event loop. Hooks are called from the loop, never
--- a/src/reachability_gate.cpp
+++ b/src/reachability_gate.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "time_since.h"
+
 namespace indigopoint {
 
 namespace {
@@ -43,6 +45,7 @@
     LastAnswerFromOtherZone = Now;
     return;
   }
+  LastAnswerFromOwnZone = Now;
   ZoneWaits.clear();
   IsZoneSilent = false;
 }
@@ -52,6 +55,12 @@
   ZoneWaits.clear();
 }
 
+ReachabilityGate::Silence ReachabilityGate::silence(TimePoint Now) const {
+  return {(IsZoneSilent ? ZoneWaits : AllWaits).summarize(Now),
+          timeSince(LastAnswerFromOwnZone, Now),
+          timeSince(LastAnswerFromOtherZone, Now)};
+}
+
 void ReachabilityGate::update(const Inputs &State, TimePoint Now) {
   updateZone(State, Now);
   AllWaits.expire(Now);
--- a/src/reachability_gate.h
+++ b/src/reachability_gate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "types.h"
@@ -54,6 +55,18 @@
   /// Whether the upstreams of the own zone are silent while others answer.
   bool isZoneSilent() const { return IsZoneSilent; }
 
+  /// What the last decision was based on. The times are those since the last
+  /// answer; there is none if there was no answer.
+  struct Silence {
+    UnansweredExchanges::Summary Waits;
+    std::optional<Duration> SinceOwnZoneAnswer;
+    std::optional<Duration> SinceOtherZoneAnswer;
+  };
+
+  /// Returns the waits for the own zone if it is silent, else for all zones.
+  /// Valid until the next update.
+  Silence silence(TimePoint Now) const;
+
 private:
   void updateZone(const Inputs &State, TimePoint Now);
   static TimePoint nextTrial(TimePoint OutdatedAt, TimePoint Now);
@@ -65,6 +78,7 @@
   TimePoint UnreachableUntil{};
   bool IsZoneSilent = false;
   TimePoint ZoneSilentSince{};
+  TimePoint LastAnswerFromOwnZone{};
   TimePoint LastAnswerFromOtherZone{};
 };
 
--- a/src/reachability_tracker.cpp
+++ b/src/reachability_tracker.cpp
@@ -87,12 +87,6 @@
   DeadUntil = Now + Opts->FailedCheckLifetime;
 }
 
-std::optional<Duration> ReachabilityTracker::sinceAnswer(TimePoint Now) const {
-  if (LastAnswer == TimePoint())
-    return std::nullopt;
-  return Now - LastAnswer;
-}
-
 void ReachabilityTracker::recordOpening(TimePoint Now) {
   if (PendingOpenings++ == 0)
     WaitStartedAt = Now;
--- a/src/reachability_tracker.h
+++ b/src/reachability_tracker.h
@@ -73,9 +73,6 @@
 
   TimePoint lastAnswer() const { return LastAnswer; }
 
-  /// Time since the last answer; nothing if there was none.
-  std::optional<Duration> sinceAnswer(TimePoint Now) const;
-
 private:
   const ReachabilityOptions *Opts;
   TimePoint LastAnswer{};
--- a/src/steering_log.cpp
+++ b/src/steering_log.cpp
@@ -6,12 +6,16 @@
 
 namespace {
 
+void setIfKnown(EventLog::Fields &LogFields, const char *Name,
+                const std::optional<Duration> &Value) {
+  if (Value)
+    LogFields[Name] = millisecondsOf(*Value);
+}
+
 EventLog::Fields describeEvidence(const ResetEvidence &Evidence) {
   EventLog::Fields LogFields = {{"cause", nameOf(Evidence.Cause)}};
-  if (Evidence.Age)
-    LogFields["evidenceAgeMs"] = millisecondsOf(*Evidence.Age);
-  if (Evidence.SinceAnswer)
-    LogFields["sinceAnswerMs"] = millisecondsOf(*Evidence.SinceAnswer);
+  setIfKnown(LogFields, "evidenceAgeMs", Evidence.Age);
+  setIfKnown(LogFields, "sinceAnswerMs", Evidence.SinceAnswer);
   return LogFields;
 }
 
@@ -51,6 +55,15 @@
   return LogFields;
 }
 
+EventLog::Fields describeSilence(const ReachabilityGate::Silence &Found) {
+  EventLog::Fields LogFields = {
+      {"waitingUpstreams", Found.Waits.Waiting.Upstreams},
+      {"longestWaitMs", millisecondsOf(Found.Waits.LongestWait)}};
+  setIfKnown(LogFields, "sinceOwnZoneAnswerMs", Found.SinceOwnZoneAnswer);
+  setIfKnown(LogFields, "sinceOtherZoneAnswerMs", Found.SinceOtherZoneAnswer);
+  return LogFields;
+}
+
 EventLog::Fields describeOpenTimeout(const FlowAddress &Flow,
                                      const Upstream &Target) {
   const UpstreamRegistration &Registration = Target.Registration;
--- a/src/steering_log.h
+++ b/src/steering_log.h
@@ -4,6 +4,7 @@
 
 #include "event_log.h"
 #include "packet.h"
+#include "reachability_gate.h"
 #include "steering_decision.h"
 
 namespace indigopoint {
@@ -18,6 +19,10 @@
 EventLog::Fields describe(const PacketHeader &Packet,
                           const SteeringDecision &Decision);
 
+/// The fields of LogEvent::UpstreamsLost that tell how long which answers are
+/// missing.
+EventLog::Fields describeSilence(const ReachabilityGate::Silence &Found);
+
 /// The fields of LogEvent::UpstreamSilent.
 EventLog::Fields describeOpenTimeout(const FlowAddress &Flow,
                                      const Upstream &Target);
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -42,8 +42,14 @@
   void applyUpdate(const StoreSync::Update &Update);
   void applyRetained(const StoreResult &Result);
   void logRestoration(StorePosition PositionBefore);
-  void logReachability(uint32_t FailuresBefore, StoreResult::Status Status,
-                       const std::string &Problem);
+  /// How the last call ended, for the log.
+  struct CallOutcome {
+    StoreResult::Status Status;
+    std::string Problem;
+    Duration Time;
+    size_t ReceivedBytes;
+  };
+  void logReachability(uint32_t FailuresBefore, const CallOutcome &Outcome);
   void contactPeer();
   void scheduleContact();
   Duration dataAge() const { return TimeSource.now() - Sync.confirmedAt(); }
@@ -68,6 +74,7 @@
   Calls CallCounts;
   /// Number of the last call. Results of earlier calls are ignored.
   uint64_t LastCall = 0;
+  TimePoint LastCallStart{};
   uint64_t Restorations = 0;
 };
 
@@ -97,6 +104,7 @@
     schedule();
     return;
   }
+  LastCallStart = TimeSource.now();
   const StoreQuery Query = Sync.start(Planner.next(Sync));
   if (!Query.Peer) {
     askStore(Query);
@@ -117,7 +125,9 @@
   Call.Timeout = Query.Timeout;
   Http.call(Call,
             [this, Query, CallNumber = ++LastCall](const HttpResult &Answer) {
-              onResult(Query, CallNumber, Protocol.DecodeResult(Query, Answer));
+              StoreResult Result = Protocol.DecodeResult(Query, Answer);
+              Result.ReceivedBytes = Answer.ReceivedBytes;
+              onResult(Query, CallNumber, std::move(Result));
             });
 }
 
@@ -136,9 +146,11 @@
   StoreResult RetainedItems;
   RetainedItems.Position = Result.Position;
   RetainedItems.Retained = std::move(Result.Retained);
-  const std::string Problem = Result.Problem;
+  const CallOutcome Outcome{Status, Result.Problem,
+                            TimeSource.now() - LastCallStart,
+                            Result.ReceivedBytes};
   const auto Update = Sync.onResult(std::move(Result));
-  logReachability(FailuresBefore, Status, Problem);
+  logReachability(FailuresBefore, Outcome);
   logRestoration(PositionBefore);
   if (Update) {
     applyUpdate(*Update);
@@ -191,19 +203,23 @@
 }
 
 void StoreFollower::Impl::logReachability(uint32_t FailuresBefore,
-                                          StoreResult::Status Status,
-                                          const std::string &Problem) {
+                                          const CallOutcome &Outcome) {
   const bool BecameUnreachable = FailuresBefore == 0 && Sync.failures() == 1;
   const bool BecameReachable = FailuresBefore > 0 && Sync.failures() == 0;
   if (BecameUnreachable || BecameReachable)
     Log.write(
         BecameUnreachable ? LogEvent::StoreLost : LogEvent::StoreRegained, [&] {
-          EventLog::Fields Line = {{"result", nameOf(Status)},
+          EventLog::Fields Line = {{"result", nameOf(Outcome.Status)},
                                    {"failures", FailuresBefore},
                                    {"revision", Sync.position().Revision},
                                    {"storeAgeMs", millisecondsOf(dataAge())}};
-          if (!Problem.empty())
-            Line["problem"] = Problem;
+          if (BecameUnreachable) {
+            Line["callMs"] = millisecondsOf(Outcome.Time);
+            Line["receivedBytes"] = Outcome.ReceivedBytes;
+            Line["lateMs"] = millisecondsOf(StateHooks.Lateness());
+          }
+          if (!Outcome.Problem.empty())
+            Line["problem"] = Outcome.Problem;
           return Line;
         });
 }
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -32,6 +32,8 @@
     /// Returns the version of the configuration in force.
     std::function<ConfigVersion()> Configuration;
     StoreMirror::SupersedesHook Supersedes;
+    /// Returns how late timers of the process fired lately.
+    std::function<Duration()> Lateness = [] { return Duration(); };
   };
 
   StoreFollower(EventLoop &Loop, const ForwarderSettings &Settings,
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -93,6 +93,8 @@
   std::vector<StoreItem> Retained;
   /// Why an answer could not be used; empty if that is clear from the status.
   std::string Problem;
+  /// Bytes that arrived from the store, also if the call failed.
+  size_t ReceivedBytes = 0;
 };
 
 std::string_view nameOf(StoreResult::Status Value);
--- a/src/unanswered_exchanges.cpp
+++ b/src/unanswered_exchanges.cpp
@@ -35,20 +35,28 @@
   });
 }
 
-bool UnansweredExchanges::isSilent(Counts Needed, Duration MinSilence,
-                                   TimePoint Now) const {
-  size_t Upstreams = 0;
+UnansweredExchanges::Summary
+UnansweredExchanges::summarize(TimePoint Now) const {
+  Summary Out;
   std::set<std::string_view> Services;
-  TimePoint Earliest = Now;
   for (const auto &[Id, Entry] : Waiting) {
-    if (Now - Entry.First < MinAnswerTime)
+    const Duration Wait = Now - Entry.First;
+    if (Wait < MinAnswerTime)
       continue;
-    ++Upstreams;
+    ++Out.Waiting.Upstreams;
     Services.insert(Entry.Service);
-    Earliest = std::min(Earliest, Entry.First);
+    Out.LongestWait = std::max(Out.LongestWait, Wait);
   }
-  return Upstreams >= Needed.Upstreams && Services.size() >= Needed.Services &&
-         Now - Earliest >= MinSilence;
+  Out.Waiting.Services = Services.size();
+  return Out;
+}
+
+bool UnansweredExchanges::isSilent(Counts Needed, Duration MinSilence,
+                                   TimePoint Now) const {
+  const Summary Found = summarize(Now);
+  return Found.Waiting.Upstreams >= Needed.Upstreams &&
+         Found.Waiting.Services >= Needed.Services &&
+         Found.LongestWait >= MinSilence;
 }
 
 } // namespace indigopoint
--- a/src/unanswered_exchanges.h
+++ b/src/unanswered_exchanges.h
@@ -26,6 +26,14 @@
   /// Forgets upstreams to which nothing was sent for some seconds.
   void expire(TimePoint Now);
 
+  struct Summary {
+    /// The upstreams that had time to answer.
+    Counts Waiting;
+    /// How long the first of them has had.
+    Duration LongestWait{};
+  };
+  Summary summarize(TimePoint Now) const;
+
   /// Whether at least \p Needed upstreams and services had time to answer, and
   /// the first of them has had \p MinSilence.
   bool isSilent(Counts Needed, Duration MinSilence, TimePoint Now) const;
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -235,6 +235,7 @@
         "indigopoint_flows_opened_total{service=\"chat\",zone=\"own\"} 1",
         "indigopoint_flow_resets_total{cause=\"zone-silent\"} 0",
         "# TYPE indigopoint_open_seconds histogram\n",
+        "# TYPE indigopoint_timer_late_seconds histogram\n",
         "indigopoint_upstreams{state=\"ready\"} 1",
         "indigopoint_configuration_version 1"})
     EXPECT_NE(Metrics.Body.find(Line), std::string::npos) << Line;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -173,10 +173,10 @@
 TEST_F(HttpTest, IdleTimeoutEndsACallThatStalls) {
   SlowResponder Responder(Loop, std::chrono::milliseconds(10),
                           "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok");
-  EXPECT_EQ(
-      callWithIdleTimeout(Responder.address(), std::chrono::milliseconds(200))
-          .Status,
-      0);
+  const HttpResult Result =
+      callWithIdleTimeout(Responder.address(), std::chrono::milliseconds(200));
+  EXPECT_EQ(Result.Status, 0);
+  EXPECT_EQ(Result.ReceivedBytes, 40U);
 }
 
 TEST_F(HttpTest, RefusedConnectionGivesStatusZero) {
--- a/tests/silent_zone_test.cpp
+++ b/tests/silent_zone_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include "steering_fixture.h"
+#include "steering_log.h"
 
 namespace indigopoint {
 namespace {
@@ -128,6 +129,24 @@
   EXPECT_FALSE(Gate.isReachable(TimeSource.Now)) << "registrations removed";
 }
 
+// Guards against a loss of upstreams that does not tell a silent zone from an
+// instance without traffic or without answers of any zone.
+TEST_F(SilentZoneTest, TellsWhichAnswersAreMissing) {
+  EXPECT_EQ(Gate.silence(TimeSource.Now).SinceOwnZoneAnswer, std::nullopt);
+  const ZoneCase Dark{"dark", isForeign, true};
+  run(1s, Dark, false);
+  const TimePoint Fault = TimeSource.Now;
+  while (!Gate.isZoneSilent())
+    run(Step, Dark, true);
+  const ReachabilityGate::Silence Found = Gate.silence(TimeSource.Now);
+  EXPECT_EQ(Found.Waits.Waiting.Upstreams, OwnUpstreams);
+  EXPECT_GE(Found.Waits.LongestWait, 600ms);
+  EXPECT_LE(Found.Waits.LongestWait, TimeSource.Now - Fault);
+  EXPECT_GE(Found.SinceOwnZoneAnswer, TimeSource.Now - Fault);
+  EXPECT_LT(Found.SinceOtherZoneAnswer, Found.SinceOwnZoneAnswer);
+  EXPECT_EQ(describeSilence(Found).at("waitingUpstreams"), OwnUpstreams);
+}
+
 // Clients in zone "a", whose upstreams go dark. Those of chat keep their flow,
 // those of photos open one for each request.
 class DarkZoneLoadTest : public SteeringFixture {
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -77,5 +77,48 @@
     EXPECT_LT(Calls[Index] - Calls[Index - 1], 700ms) << Index;
 }
 
+// Guards against a lost store that looks the same whether it was silent,
+// refused the call, or the process itself was late.
+TEST_F(StoreFollowerTest, LossOfTheStoreTellsHowItsCallEnded) {
+  struct Case {
+    const char *Path;
+    bool HasBytes;
+    Duration MinTime;
+  };
+  const std::vector<Case> Cases = {{"/silent", false, 500ms},
+                                   {"/missing", true, 0ms}};
+  std::vector<HttpServer::Respond> Unanswered;
+  HttpServer FailingStore(Loop);
+  FailingStore.route(
+      "GET", "/silent",
+      [&](const HttpRequest &, const HttpServer::Respond &Respond) {
+        Unanswered.push_back(Respond);
+      });
+  ASSERT_FALSE(FailingStore.open(AnyPort));
+  Settings.Store = FailingStore.address();
+  for (const Case &Played : Cases) {
+    SCOPED_TRACE(Played.Path);
+    StoreProtocol Protocol = protocol();
+    Protocol.EncodeQuery = [&Played](const StoreQuery &) {
+      HttpCall Call;
+      Call.Target = Played.Path;
+      return Call;
+    };
+    StoreFollower Follower(
+        Loop, Settings, Protocol, TimeSource, Log,
+        {[](const StoreSync::Update &) {}, [] { return ConfigVersion(); },
+         [](const StoreItem &, const StoreItem *) { return false; },
+         [] { return Duration(70ms); }});
+    ASSERT_EQ(Follower.start(), "");
+    ASSERT_TRUE(runUntil(Loop, [this] { return !Log.pending().empty(); }));
+    const auto Line = EventLog::Fields::parse(Log.pending());
+    Log.consume(Log.pending().size());
+    ASSERT_EQ(Line.at("event"), "store-lost");
+    EXPECT_EQ(Line.at("receivedBytes") > 0, Played.HasBytes);
+    EXPECT_GE(Line.at("callMs"), millisecondsOf(Played.MinTime));
+    EXPECT_EQ(Line.at("lateMs"), 70);
+  }
+}
+
 } // namespace
 } // namespace indigopoint
