--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -101,6 +101,12 @@
   /// Processes the result of a check that OnCheckNeeded requested.
   void recordCheckResult(UpstreamId Id, CheckResult Result);
 
+  /// Called when a requested check told nothing.
+  void recordVoidCheck(UpstreamId Id);
+
+  /// Starts the checks that were requested and are due.
+  void startRequestedChecks();
+
   /// Processes evidence that another instance of the zone reported.
   void recordPeerEvidence(const PeerReport &Report);
 
@@ -188,7 +194,7 @@
   void requestCheckIfDue(Upstream &Target);
   /// Resets an open flow that sent no packet now.
   void resetFlow(const FlowAddress &Address, SteeredFlow &Flow,
-                 Upstream &Target);
+                 Upstream &Target, const ResetEvidence &Evidence);
   /// Records the failed checks of other instances, and checks the upstream
   /// unless they suffice.
   void recordWitnesses(Upstream &Target);
--- a/src/flow_steering_resets.cpp
+++ b/src/flow_steering_resets.cpp
@@ -5,6 +5,8 @@
 
 #include <utility>
 
+#include "time_since.h"
+
 namespace indigopoint {
 
 namespace {
@@ -17,6 +19,20 @@
 // many others for one of its own.
 constexpr size_t MinWitnessesInSilentZone = 2;
 
+// Why flows of the upstream are reset for this reason.
+ResetEvidence evidenceOf(SteeringReason Reason, const Upstream &Target,
+                         TimePoint Now) {
+  const auto SinceAnswer = timeSince(Target.Reachability.lastAnswer(), Now);
+  if (Reason == SteeringReason::AddressReused)
+    return {ResetCause::AddressReused, Now - Target.UnregisteredAt,
+            SinceAnswer};
+  if (Reason == SteeringReason::UpstreamGone)
+    return {ResetCause::MissingFromStore, Now - Target.UnregisteredAt,
+            SinceAnswer};
+  const ReachabilityTracker::Verdict &Found = Target.Reachability.lastVerdict();
+  return {Found.Cause, Now - Found.FoundAt, SinceAnswer};
+}
+
 } // namespace
 
 // A failed check without a reference is ignored if no upstream answered
@@ -42,6 +58,20 @@
     giveUp(*Target);
 }
 
+void FlowSteering::recordVoidCheck(UpstreamId Id) {
+  if (Upstream *Target = Upstreams.find(Id))
+    Target->Reachability.recordVoidCheck();
+}
+
+// Upstreams without an open flow here have nothing to be given up, and the
+// checks of all instances at once fill the upstream's queue of connections.
+void FlowSteering::startRequestedChecks() {
+  Upstreams.forEach([this](Upstream &Target) {
+    if (Target.Reachability.isCheckRequested() && Target.OpenFlows > 0)
+      requestCheckIfDue(Target);
+  });
+}
+
 void FlowSteering::giveUp(Upstream &DeadUpstream) {
   HasNewDeadUpstream = true;
   if (Opts.Checks.ResetWaitingFlows)
@@ -52,6 +82,8 @@
 // attempt, since the intervals between retransmissions double.
 void FlowSteering::resetWaitingFlows(Upstream &DeadUpstream) {
   const UpstreamId Id = DeadUpstream.Registration.Id;
+  const ResetEvidence Evidence =
+      evidenceOf(SteeringReason::UpstreamDead, DeadUpstream, TimeSource.now());
   const auto [Begin, End] = RetransmittingFlows.equal_range(Id);
   for (auto It = Begin; It != End; ++It) {
     SteeredFlow *Flow = Flows.find(It->second);
@@ -59,18 +91,20 @@
         Flow->CurrentPhase != SteeredFlow::Phase::Open ||
         !mayResetOnSuspicion(It->second))
       continue;
-    resetFlow(It->second, *Flow, DeadUpstream);
+    resetFlow(It->second, *Flow, DeadUpstream, Evidence);
   }
   RetransmittingFlows.erase(Begin, End);
 }
 
 void FlowSteering::resetFlow(const FlowAddress &Address, SteeredFlow &Flow,
-                             Upstream &Target) {
+                             Upstream &Target, const ResetEvidence &Evidence) {
   PacketHeader Packet;
   Packet.Flow = Address;
   Packet.AckNumber = Flow.HighestAck;
-  const SteeringDecision Decision{SteeringAction::Reset,
-                                  SteeringReason::UpstreamDead, &Target};
+  const SteeringDecision Decision{.Action = SteeringAction::Reset,
+                                  .Reason = SteeringReason::UpstreamDead,
+                                  .Target = &Target,
+                                  .Evidence = Evidence};
   setPhase(Flow, SteeredFlow::Phase::Closing);
   Metrics.countDecision(Decision);
   FlowHooks.OnReset(Packet, Decision);
@@ -89,7 +123,9 @@
       return;
     const bool IsIdle = !Flow.RequestSentAt && !Flow.MayAwaitAnswer;
     if (IsIdle || mayResetOnSuspicion(Address))
-      resetFlow(Address, Flow, *Target);
+      resetFlow(
+          Address, Flow, *Target,
+          evidenceOf(SteeringReason::UpstreamDead, *Target, TimeSource.now()));
   });
 }
 
@@ -106,11 +142,12 @@
 void FlowSteering::checkLateUpstreams() {
   if (!Opts.Checks.ResetFlowsOfSilentZone || Opts.Gate == nullptr)
     return;
+  // All are requested before the first one starts, so that none of them is the
+  // reference.
   for (Upstream *Late : Upstreams.upstreamsOfZone(Opts.Zone))
-    if (Opts.Gate->isWaitingFor(Late->Registration.Id)) {
+    if (Opts.Gate->isWaitingFor(Late->Registration.Id))
       Late->Reachability.requestCheck();
-      requestCheckIfDue(*Late);
-    }
+  startRequestedChecks();
 }
 
 // The word of other instances may be old, or be that of their own path. It
@@ -129,7 +166,7 @@
     Target.Reachability.recordSilence(Now);
   if (Target.Reachability.isDead(Now))
     giveUp(Target);
-  else if (IsInSilentZone || Witnesses > 0) {
+  else if ((IsInSilentZone || Witnesses > 0) && Target.OpenFlows > 0) {
     Target.Reachability.requestCheck();
     requestCheckIfDue(Target);
   }
@@ -193,7 +230,10 @@
     return {SteeringAction::Drop, *ResetReason, &Target};
   if (SteeredFlow *Flow = Flows.find(Packet.Flow))
     setPhase(*Flow, SteeredFlow::Phase::Closing);
-  return {SteeringAction::Reset, *ResetReason, &Target};
+  return {.Action = SteeringAction::Reset,
+          .Reason = *ResetReason,
+          .Target = &Target,
+          .Evidence = evidenceOf(*ResetReason, Target, TimeSource.now())};
 }
 
 } // namespace indigopoint
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -62,7 +62,7 @@
   std::string openReport();
   ForwarderView view() const;
   void startCheck(const Upstream &Suspect);
-  void onCheckResult(UpstreamId Id, CheckResult Result);
+  void onCheckResult(UpstreamId Id, std::optional<CheckResult> Result);
   void receiveReport(const PeerReport &Report);
   void readPending();
   void startReceiving();
@@ -93,6 +93,8 @@
   RouteTable Routes;
   UpstreamRegistry Upstreams;
   SteeringMetrics Metrics;
+  /// Of the maintenance timer.
+  TimerLateness Lateness{MaintenancePeriod};
   ReachabilityGate Gate;
   bool WasReachable = true;
   /// How often no upstream was reachable any more.
@@ -190,8 +192,9 @@
                 [this] { return Routes.version(); },
                 [this](const StoreItem &Known, const StoreItem *Restored) {
                   return UpdateApplier.supersedes(Known, Restored);
-                }}),
-      FlowLog(Log, TimeSource, Routes, Follower),
+                },
+                [this] { return Lateness.recentMax(TimeSource.now()); }}),
+      FlowLog(Log, TimeSource, Routes, Follower, Lateness),
       Reports(Loop,
               {this->Settings.ReportAddress, this->Settings.PeerAddress,
                this->Settings.Zone},
@@ -202,7 +205,7 @@
                  return Steering.placementOf(Flow);
                }}),
       Checks(Loop, this->Settings.Policy.Checks.UseReference,
-             [this](UpstreamId Id, CheckResult Result) {
+             [this](UpstreamId Id, std::optional<CheckResult> Result) {
                onCheckResult(Id, Result);
              }),
       DataSocket(this->Protocol.MaxPacketBytes), ReadinessServer(Loop),
@@ -281,26 +284,32 @@
           TimeSource.now(),
           Reports.counters(),
           UpstreamLosses,
-          Spill};
+          Spill,
+          Lateness};
 }
 
 void Forwarder::Impl::startCheck(const Upstream &Suspect) {
   if (const Upstream *ReferenceUpstream =
-          Upstreams.mostRecentlyAnswering(Suspect))
+          Upstreams.mostRecentlyAnswering(Suspect, TimeSource.now()))
     Checks.start(Suspect, *ReferenceUpstream);
 }
 
 // Packets that have arrived may show that the upstream has answered. The loss
 // of many upstreams costs one pass over the flows, after the last check.
-void Forwarder::Impl::onCheckResult(UpstreamId Id, CheckResult Result) {
+void Forwarder::Impl::onCheckResult(UpstreamId Id,
+                                    std::optional<CheckResult> Result) {
   recordActivity();
   if (Result != CheckResult::Accepted)
     readPending();
-  Steering.recordCheckResult(Id, Result);
+  if (Result)
+    Steering.recordCheckResult(Id, *Result);
+  else
+    Steering.recordVoidCheck(Id);
   if (!Checks.isPending())
     Steering.resetFlowsOfDeadUpstreams();
   DataSocket.flush();
-  FlowLog.writeCheckResult(Id, Result, Upstreams.find(Id));
+  if (Result)
+    FlowLog.writeCheckResult(Id, *Result, Upstreams.find(Id));
 }
 
 // Before the first configuration, packets wait in the socket.
@@ -331,8 +340,7 @@
   TimeSource.refresh();
   if (!Pauses.recordActivity(TimeSource.now()))
     return;
-  Log.write(LogEvent::PauseNoticed,
-            [this] { return FlowLog.storeStateFields(); });
+  FlowLog.writePause();
   Gate.discardWaits();
   Follower.confirmNow();
 }
@@ -401,11 +409,13 @@
 
 void Forwarder::Impl::maintain() {
   recordActivity();
+  Lateness.recordFiring(TimeSource.now());
   Upstreams.recordStoreSync(Follower.sync().confirmedAt());
   if (!Pauses.isOutdated(Follower.sync().confirmedAt(), TimeSource.now()))
     UpdateApplier.applyDue();
   updateGate();
   dropExpired();
+  Steering.startRequestedChecks();
   Steering.resetFlowsOfDeadUpstreams();
   DataSocket.flush();
   if (TimeSource.now() - LastExpiry >= ExpiryPeriod) {
@@ -438,12 +448,7 @@
   WasReachable = IsReachable;
   if (!IsReachable)
     ++UpstreamLosses;
-  Log.write(IsReachable ? LogEvent::UpstreamsRegained : LogEvent::UpstreamsLost,
-            [this] {
-              EventLog::Fields Line = FlowLog.storeStateFields();
-              Line["zoneSilent"] = Gate.isZoneSilent();
-              return Line;
-            });
+  FlowLog.writeReachability(Gate, IsReachable);
 }
 
 void Forwarder::Impl::stop() {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -39,6 +39,8 @@
   /// When the last bytes arrived, by SteadyClock. A stalled process reads them
   /// later.
   TimePoint ArrivedAt{};
+  /// Bytes that arrived, also if the call failed.
+  size_t ReceivedBytes = 0;
 };
 
 /// Makes HTTP calls on an event loop. Hooks are called from the loop, never
--- a/src/peer_evidence.cpp
+++ b/src/peer_evidence.cpp
@@ -98,11 +98,11 @@
   if (It == ReportsByUpstream.end() ||
       It->second.StartedAtMs != Target.Registration.StartedAtMs)
     return 0;
-  const TimePoint LastAnswer = Target.Reachability.lastAnswer();
+  const TimePoint LastSign = Target.Reachability.lastSignOfLife();
   return std::count_if(It->second.StopBySender.begin(),
                        It->second.StopBySender.end(), [&](const auto &Report) {
                          return Now - Report.second <= MaxLifetime &&
-                                Report.second - MaxCheckTime > LastAnswer;
+                                Report.second - MaxCheckTime > LastSign;
                        });
 }
 
--- a/src/reachability_gate.cpp
+++ b/src/reachability_gate.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "time_since.h"
+
 namespace indigopoint {
 
 namespace {
@@ -55,6 +57,7 @@
     LastAnswerFromOtherZone = Now;
     return;
   }
+  LastAnswerFromOwnZone = Now;
   ZoneWaits.clear();
   OwnZoneWaits.clear();
   IsZoneSilent = false;
@@ -67,6 +70,12 @@
   OwnZoneWaits.clear();
 }
 
+ReachabilityGate::Silence ReachabilityGate::silence(TimePoint Now) const {
+  return {(IsZoneSilent ? ZoneWaits : AllWaits).summarize(Now),
+          timeSince(LastAnswerFromOwnZone, Now),
+          timeSince(LastAnswerFromOtherZone, Now)};
+}
+
 void ReachabilityGate::update(const Inputs &State, TimePoint Now) {
   updateZone(State, Now);
   AllWaits.expire(Now);
--- a/src/reachability_gate.h
+++ b/src/reachability_gate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "types.h"
@@ -71,6 +72,17 @@
   bool isWaitingFor(UpstreamId Id) const {
     return OwnZoneWaits.isWaitingFor(Id);
   }
+  /// What the last decision was based on. The times are those since the last
+  /// answer; there is none if there was no answer.
+  struct Silence {
+    UnansweredExchanges::Summary Waits;
+    std::optional<Duration> SinceOwnZoneAnswer;
+    std::optional<Duration> SinceOtherZoneAnswer;
+  };
+
+  /// Returns the waits for the own zone if it is silent, else for all zones.
+  /// Valid until the next update.
+  Silence silence(TimePoint Now) const;
 
 private:
   void updateZone(const Inputs &State, TimePoint Now);
@@ -86,6 +98,7 @@
   bool IsZoneSilent = false;
   bool IsZoneSuspect = false;
   TimePoint ZoneSilentSince{};
+  TimePoint LastAnswerFromOwnZone{};
   TimePoint LastAnswerFromOtherZone{};
 };
 
--- a/src/reachability_tracker.cpp
+++ b/src/reachability_tracker.cpp
@@ -78,6 +78,7 @@
   if (Result == CheckResult::Accepted) {
     HasRetransmission = false;
     HasOpenTimeout = false;
+    LastAcceptedCheck = Now;
     LastUnansweredCheck = {};
     DeadUntil = {};
     return false;
@@ -90,7 +91,9 @@
   if (Result == CheckResult::NoAnswer)
     LastUnansweredCheck = Now;
   if (IsConfirmed)
-    DeadUntil = Now + Opts->FailedCheckLifetime;
+    recordVerdict(Result == CheckResult::Refused ? ResetCause::CheckRefused
+                                                 : ResetCause::CheckTimedOut,
+                  Now);
   else
     LastCheck = Now;
   return !IsConfirmed;
@@ -98,11 +101,16 @@
 
 void ReachabilityTracker::recordWitness(TimePoint Now) {
   if (hasUnansweredCheck(Now))
-    DeadUntil = Now + Opts->FailedCheckLifetime;
+    recordVerdict(ResetCause::CheckTimedOut, Now);
   else
     requestCheck();
 }
 
+void ReachabilityTracker::recordVerdict(ResetCause Cause, TimePoint Now) {
+  DeadUntil = Now + Opts->FailedCheckLifetime;
+  LastVerdict = {Cause, Now};
+}
+
 bool ReachabilityTracker::hasUnansweredCheck(TimePoint Now) const {
   return LastUnansweredCheck != TimePoint() &&
          Now - LastUnansweredCheck <= Opts->FailedCheckLifetime;
--- a/src/reachability_tracker.h
+++ b/src/reachability_tracker.h
@@ -2,7 +2,9 @@
 
 #include "check_result.h"
 #include "policy_options.h"
+#include "reset_evidence.h"
 #include "types.h"
+#include <algorithm>
 
 namespace indigopoint {
 
@@ -56,11 +58,18 @@
   /// Records that other instances and the silence of the whole zone confirm
   /// each other.
   void recordSilence(TimePoint Now) {
-    DeadUntil = Now + Opts->FailedCheckLifetime;
+    recordVerdict(ResetCause::ZoneSilent, Now);
+  }
+
+  /// Records that a check told nothing, since its reference failed as well.
+  void recordVoidCheck() {
+    LastCheck = {};
+    requestCheck();
   }
 
   /// Makes a check due even without silence of this upstream.
   void requestCheck() { IsCheckRequested = true; }
+  bool isCheckRequested() const { return IsCheckRequested; }
 
   /// Records that other instances found that the upstream has stopped: new
   /// flows avoid it.
@@ -76,15 +85,28 @@
   /// Whether openings of this instance were left unanswered.
   bool hasOwnDoubts(TimePoint Now) const;
 
-  /// Whether checks of this instance found recently that the upstream has
-  /// stopped, and it has not answered since. Its open flows are then reset. A
+  /// Whether it was confirmed recently that the upstream has stopped, and it
+  /// has not answered since. Its open flows are then reset. A
   /// suspect upstream keeps its open flows, but new flows avoid it.
   bool isDead(TimePoint Now) const { return Now < DeadUntil; }
 
+  /// Why the upstream was last found dead, and when.
+  struct Verdict {
+    ResetCause Cause = ResetCause::CheckTimedOut;
+    TimePoint FoundAt{};
+  };
+  const Verdict &lastVerdict() const { return LastVerdict; }
+
   TimePoint lastAnswer() const { return LastAnswer; }
 
+  /// The last answer or accepted check. Older reports of others are outdated.
+  TimePoint lastSignOfLife() const {
+    return std::max(LastAnswer, LastAcceptedCheck);
+  }
+
 private:
   bool hasUnansweredCheck(TimePoint Now) const;
+  void recordVerdict(ResetCause Cause, TimePoint Now);
 
   const ReachabilityOptions *Opts;
   TimePoint LastAnswer{};
@@ -103,12 +125,14 @@
   bool IsCheckRequested = false;
   /// The start of the latest check.
   TimePoint LastCheck{};
+  TimePoint LastAcceptedCheck{};
   /// When a check was left without an answer; not set if the upstream has
   /// answered since.
   TimePoint LastUnansweredCheck{};
   /// Until when the word of other instances counts.
   TimePoint AvoidedUntil{};
   TimePoint DeadUntil{};
+  Verdict LastVerdict;
 };
 
 /// An upstream that does not answer an opening packet within this time is
--- a/src/steering_log.cpp
+++ b/src/steering_log.cpp
@@ -4,6 +4,23 @@
 
 namespace indigopoint {
 
+namespace {
+
+void setIfKnown(EventLog::Fields &LogFields, const char *Name,
+                const std::optional<Duration> &Value) {
+  if (Value)
+    LogFields[Name] = millisecondsOf(*Value);
+}
+
+EventLog::Fields describeEvidence(const ResetEvidence &Evidence) {
+  EventLog::Fields LogFields = {{"cause", nameOf(Evidence.Cause)}};
+  setIfKnown(LogFields, "evidenceAgeMs", Evidence.Age);
+  setIfKnown(LogFields, "sinceAnswerMs", Evidence.SinceAnswer);
+  return LogFields;
+}
+
+} // namespace
+
 std::optional<LogEvent> logEventOf(const SteeringDecision &Decision) {
   if (Decision.Action == SteeringAction::Reset)
     return LogEvent::FlowReset;
@@ -33,6 +50,17 @@
   }
   if (Decision.Action != SteeringAction::Forward)
     LogFields["tag"] = Packet.Tag.value();
+  if (Decision.Evidence)
+    LogFields.update(describeEvidence(*Decision.Evidence));
+  return LogFields;
+}
+
+EventLog::Fields describeSilence(const ReachabilityGate::Silence &Found) {
+  EventLog::Fields LogFields = {
+      {"waitingUpstreams", Found.Waits.Waiting.Upstreams},
+      {"longestWaitMs", millisecondsOf(Found.Waits.LongestWait)}};
+  setIfKnown(LogFields, "sinceOwnZoneAnswerMs", Found.SinceOwnZoneAnswer);
+  setIfKnown(LogFields, "sinceOtherZoneAnswerMs", Found.SinceOtherZoneAnswer);
   return LogFields;
 }
 
--- a/src/steering_log.h
+++ b/src/steering_log.h
@@ -4,6 +4,7 @@
 
 #include "event_log.h"
 #include "packet.h"
+#include "reachability_gate.h"
 #include "steering_decision.h"
 
 namespace indigopoint {
@@ -13,11 +14,15 @@
 std::optional<LogEvent> logEventOf(const SteeringDecision &Decision);
 
 /// The log fields of a decision: the flow, the reason, the upstream if there is
-/// one, the inputs of a refusal because of overload, and the packet's tag if
-/// the packet was not forwarded.
+/// one, the packet's tag if the packet was not forwarded, and the evidence for
+/// the reset of an open flow.
 EventLog::Fields describe(const PacketHeader &Packet,
                           const SteeringDecision &Decision);
 
+/// The fields of LogEvent::UpstreamsLost that tell how long which answers are
+/// missing.
+EventLog::Fields describeSilence(const ReachabilityGate::Silence &Found);
+
 /// The fields of LogEvent::UpstreamSilent.
 EventLog::Fields describeOpenTimeout(const FlowAddress &Flow,
                                      const Upstream &Target);
--- a/src/upstream_check.cpp
+++ b/src/upstream_check.cpp
@@ -77,6 +77,14 @@
   if (Check.Result == CheckResult::Accepted || Reference == nullptr ||
       Reference->IsAccepting)
     OnResult(Check.Id, Check.Result);
+  else
+    OnResult(Check.Id, std::nullopt);
+}
+
+// The reference and the checks that wait for it refer to each other.
+UpstreamCheck::~UpstreamCheck() {
+  if (LatestReference != nullptr)
+    LatestReference->Waiting.clear();
 }
 
 } // namespace indigopoint
--- a/src/upstream_check.h
+++ b/src/upstream_check.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "connect_check.h"
 #include "upstream_registry.h"
@@ -12,16 +13,19 @@
 /// reference upstream that answered recently.
 class UpstreamCheck {
 public:
-  using ResultHook = std::function<void(UpstreamId, CheckResult)>;
+  /// There is no result if the reference failed as well.
+  using ResultHook =
+      std::function<void(UpstreamId, std::optional<CheckResult>)>;
 
   /// Without \p UseReference, a failed connection alone fails the check.
   UpstreamCheck(EventLoop &Loop, bool UseReference, ResultHook OnResult)
       : ConnectionCheck(Loop), UseReference(UseReference),
         OnResult(std::move(OnResult)) {}
+  ~UpstreamCheck();
 
   /// Starts to connect to \p Suspect and \p Reference. Checks that start while
-  /// the connection to a reference is pending share it. The hook is not called
-  /// if both fail, since the fault is then more likely on this instance's side,
+  /// the connection to a reference is pending share it. There is no result if
+  /// both fail, since the fault is then more likely on this instance's side,
   /// such as a saturated link.
   void start(const Upstream &Suspect, const Upstream &Reference);
 
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -138,16 +138,22 @@
 }
 
 const Upstream *
-UpstreamRegistry::mostRecentlyAnswering(const Upstream &Excluded) const {
-  const Upstream *LatestUpstream = nullptr;
+UpstreamRegistry::mostRecentlyAnswering(const Upstream &Excluded,
+                                        TimePoint Now) const {
+  // An upstream that is itself under suspicion is a reference only if there is
+  // no other.
+  const auto Rank = [Now](const Upstream &Entry) {
+    const ReachabilityTracker &State = Entry.Reachability;
+    return std::pair(!State.isSuspect(Now) && !State.isCheckRequested(),
+                     State.lastAnswer());
+  };
+  const Upstream *Best = nullptr;
   for (const auto &[Id, Entry] : Upstreams)
     if (&Entry != &Excluded && Entry.State != UpstreamState::Unregistered &&
-        Entry.Reachability.lastAnswer() >
-            (LatestUpstream == nullptr
-                 ? TimePoint()
-                 : LatestUpstream->Reachability.lastAnswer()))
-      LatestUpstream = &Entry;
-  return LatestUpstream;
+        Entry.Reachability.lastAnswer() != TimePoint() &&
+        (Best == nullptr || Rank(Entry) > Rank(*Best)))
+      Best = &Entry;
+  return Best;
 }
 
 void UpstreamRegistry::assumeCold(
@@ -206,6 +212,12 @@
   return Out;
 }
 
+void UpstreamRegistry::forEach(
+    const std::function<void(Upstream &)> &OnUpstream) {
+  for (auto &[Id, Entry] : Upstreams)
+    OnUpstream(Entry);
+}
+
 bool UpstreamRegistry::isPresumedStopped(const Upstream &Target) const {
   return Target.State == UpstreamState::Unregistered &&
          LastStoreSync - Target.UnregisteredAt >= ReRegistrationTime &&
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -122,7 +122,8 @@
 
   /// The registered upstream other than \p Excluded with the most recent
   /// answer; null if none has answered.
-  const Upstream *mostRecentlyAnswering(const Upstream &Excluded) const;
+  const Upstream *mostRecentlyAnswering(const Upstream &Excluded,
+                                        TimePoint Now) const;
 
   /// Called when all registrations of the store have been read once.
   void markComplete() { HasReadAllRegistrations = true; }
@@ -167,6 +168,9 @@
   /// All upstreams of a zone, in any state.
   std::vector<Upstream *> upstreamsOfZone(const std::string &Zone);
 
+  /// Calls \p OnUpstream for each upstream.
+  void forEach(const std::function<void(Upstream &)> &OnUpstream);
+
   /// All upstreams of a service, in any state.
   const std::vector<Upstream *> &
   upstreamsOfService(const std::string &Service) const;
--- a/tests/connect_check_test.cpp
+++ b/tests/connect_check_test.cpp
@@ -2,7 +2,6 @@
 
 #include <optional>
 #include <thread>
-#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -79,17 +78,19 @@
       Upstreams[2].Registration.Address = Server.address();
     else
       Upstreams[2].Registration.Address = {0x7f000001, 9};
-    std::vector<std::pair<UpstreamId, CheckResult>> Results;
-    UpstreamCheck Check(Loop, true, [&](UpstreamId Id, CheckResult Result) {
-      Results.emplace_back(Id, Result);
-    });
+    std::vector<std::optional<CheckResult>> Results;
+    UpstreamCheck Check(Loop, true,
+                        [&](UpstreamId, std::optional<CheckResult> Result) {
+                          Results.push_back(Result);
+                        });
     Check.start(Upstreams[0], Upstreams[2]);
     Check.start(Upstreams[1], Upstreams[2]);
     EXPECT_TRUE(Check.isPending());
     EXPECT_TRUE(runUntil(Loop, [&] { return !Check.isPending(); }));
-    EXPECT_EQ(Results.size(), IsReferenceAccepting ? 2U : 0U);
-    for (const auto &[Id, Result] : Results)
-      EXPECT_EQ(Result, CheckResult::Refused);
+    const auto Expected = IsReferenceAccepting
+                              ? std::optional(CheckResult::Refused)
+                              : std::nullopt;
+    EXPECT_EQ(Results, std::vector(2, Expected));
   }
 }
 
--- a/tests/flow_steering_test.cpp
+++ b/tests/flow_steering_test.cpp
@@ -459,29 +459,36 @@
 TEST_F(FlowSteeringTest, MissingRegistrationResetsFlowsOnlyAfterAFailedCheck) {
   configure(2, {{"chat", ChatAddress, {{"chat", 1}}, false},
                 {"photos", PhotoAddress, {{"photos", 1}}, false}});
-  const uint64_t Id = open(1);
-  const auto Retransmit = [&] { return Steering.steer(data(1, Id, 500)); };
-  Upstreams.remove(UpstreamId(Id), TimeSource.now());
-  TimeSource.advance(3s);
-  Retransmit();
-  EXPECT_EQ(Retransmit().Action, SteeringAction::Forward) << "no store sync";
-  Upstreams.recordStoreSync(TimeSource.now());
-  EXPECT_EQ(Retransmit().Action, SteeringAction::Forward) << "no check";
-  EXPECT_EQ(CheckedUpstreams, std::vector<uint64_t>({Id}));
-  open(2, PhotoAddress);
-  Steering.recordCheckResult(UpstreamId(Id), CheckResult::Refused);
-  const SteeringDecision Decision = Retransmit();
-  EXPECT_EQ(Decision.Action, SteeringAction::Reset);
-  EXPECT_EQ(Decision.Reason, SteeringReason::UpstreamGone);
-}
-
-TEST_F(FlowSteeringTest, UnregisteredUpstreamThatAnswersIsNotGone) {
-  const uint64_t Id = open(1);
-  Upstreams.remove(UpstreamId(Id), TimeSource.now());
-  TimeSource.advance(3s);
-  Upstreams.recordStoreSync(TimeSource.now());
-  Steering.steer(data(1, Id, 600));
-  EXPECT_EQ(Steering.steer(data(1, Id, 600)).Action, SteeringAction::Forward);
+  uint16_t Port = 0;
+  for (const bool HasSync : {false, true})
+    for (const bool HasFailedCheck : {false, true})
+      for (const bool HasAnswered : {false, true}) {
+        TimeSource.advance(5s);
+        const uint64_t Id = open(++Port);
+        Upstreams.remove(UpstreamId(Id), TimeSource.now());
+        TimeSource.advance(3s);
+        const uint32_t AckNumber = HasAnswered ? 600 : 500;
+        const auto Retransmit = [&, Flow = Port] {
+          return Steering.steer(data(Flow, Id, AckNumber));
+        };
+        Retransmit();
+        TimeSource.advance(300ms);
+        CheckedUpstreams.clear();
+        Retransmit();
+        EXPECT_EQ(CheckedUpstreams.empty(), !HasAnswered);
+        open(++Port, PhotoAddress);
+        if (HasFailedCheck)
+          Steering.recordCheckResult(UpstreamId(Id), CheckResult::Refused);
+        if (HasSync)
+          Upstreams.recordStoreSync(TimeSource.now());
+        const SteeringDecision Decision = Retransmit();
+        const bool IsReset = HasSync && HasFailedCheck && !HasAnswered;
+        EXPECT_EQ(Decision.Action,
+                  IsReset ? SteeringAction::Reset : SteeringAction::Forward);
+        EXPECT_EQ(Decision.Reason, IsReset ? SteeringReason::UpstreamGone
+                                           : SteeringReason::KnownFlow);
+        add(Id, "chat", "a");
+      }
 }
 
 TEST_F(FlowSteeringTest, ReusedClientPortOpensANewFlow) {
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -159,7 +159,9 @@
 TEST_F(HttpTest, IdleTimeoutEndsACallThatStalls) {
   SlowResponder Responder(Loop, std::chrono::milliseconds(10),
                           "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok");
-  EXPECT_EQ(callPeer(Responder.address(), 30s, 200ms).Status, 0);
+  const HttpResult Result = callPeer(Responder.address(), 30s, 200ms);
+  EXPECT_EQ(Result.Status, 0);
+  EXPECT_EQ(Result.ReceivedBytes, 40U);
 }
 
 // Guards against a call that goes on for as long as bytes arrive.
--- a/tests/upstream_registry_test.cpp
+++ b/tests/upstream_registry_test.cpp
@@ -127,11 +127,11 @@
   for (const uint64_t Id : {1, 2, 3})
     Registry.put(registration(Id, "chat"), Id, Start);
   const Upstream &First = *Registry.find(UpstreamId(1));
-  EXPECT_EQ(Registry.mostRecentlyAnswering(First), nullptr);
+  EXPECT_EQ(Registry.mostRecentlyAnswering(First, TimePoint()), nullptr);
   Registry.find(UpstreamId(1))->Reachability.recordAnswer(Start + 9s);
   Registry.find(UpstreamId(2))->Reachability.recordAnswer(Start + 3s);
   Registry.find(UpstreamId(3))->Reachability.recordAnswer(Start + 5s);
-  EXPECT_EQ(Registry.mostRecentlyAnswering(First)->Registration.Id,
+  EXPECT_EQ(Registry.mostRecentlyAnswering(First, TimePoint())->Registration.Id,
             UpstreamId(3));
 }
 
