--- a/soak/soak.py
+++ b/soak/soak.py
@@ -177,7 +177,8 @@
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--deployment-size", action="store_true",
                         help="77 instances in 4 zones and 150 upstreams")
-    parser.add_argument("--keep", type=pathlib.Path, help="folder for logs and violations, kept after the run")
+    parser.add_argument("--keep", type=pathlib.Path,
+                        help="folder for logs and violations, kept after the run")
     parser.add_argument("--load", type=int, default=0,
                         help="processes that keep a processor each busy for the whole run")
     parser.add_argument("--store-faults-in-series", action="store_true",
--- a/soak/system.py
+++ b/soak/system.py
@@ -41,7 +41,8 @@
         self.upstreams, self.instances = [], []
         for service, count in size.upstreams.items():
             for number in range(count):
-                self.add_upstream(len(self.upstreams) + 1, service, number < size.untouched[service])
+                self.add_upstream(len(self.upstreams) + 1, service,
+                                  number < size.untouched[service])
         # Registrations of another writer have this id and address; no flow may get there.
         self.foreign = LoopUpstream(self.loop, FOREIGN_ID,
                                     self.slot.address(UPSTREAMS, FOREIGN_HOST), DATA_PORT)
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -26,7 +26,7 @@
 
 
 class LoopUpstream(Upstream):
-    """Answers each request by `answer_text` in numbered packets."""
+    """Answers each request by some numbered packets."""
 
     def __init__(self, loop, identity, address, port):
         self.loop, self.is_draining, self.ended_flows = loop, False, set()
