Check upstreams of a silent zone whether or not others reported them

Change: leaving a silent zone requests a check of each of its upstreams with open flows that is not confirmed to have stopped.

--- a/src/flow_steering_resets.cpp
+++ b/src/flow_steering_resets.cpp
@@ -134,9 +134,13 @@
 void FlowSteering::leaveSilentZone() {
   for (Upstream *Silent : Upstreams.upstreamsOfZone(Opts.Zone)) {
     Silent->Reachability.recordOpenTimeout(TimeSource.now());
-    if (Opts.Checks.ResetFlowsOfSilentZone)
-      recordWitnesses(*Silent);
+    if (!Opts.Checks.ResetFlowsOfSilentZone)
+      continue;
+    recordWitnesses(*Silent);
+    if (!Silent->Reachability.isDead(TimeSource.now()))
+      Silent->Reachability.requestCheck();
   }
+  startRequestedChecks();
 }
 
 void FlowSteering::checkLateUpstreams() {
@@ -166,10 +170,8 @@
     Target.Reachability.recordSilence(Now);
   if (Target.Reachability.isDead(Now))
     giveUp(Target);
-  else if ((IsInSilentZone || Witnesses > 0) && Target.OpenFlows > 0) {
-    Target.Reachability.requestCheck();
+  else if (Witnesses > 0 && Target.OpenFlows > 0)
     requestCheckIfDue(Target);
-  }
 }
 
 void FlowSteering::recordPeerEvidence(const PeerReport &Report) {
