--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -8,7 +8,7 @@
 #include "event_loop.h"
 #include "flow_steering.h"
 #include "forwarder_log.h"
-#include "forwarder_report.h"
+#include "forwarder_report_server.h"
 #include "held_packets.h"
 #include "http_server.h"
 #include "pause_guard.h"
@@ -37,9 +37,6 @@
 // still gets packets.
 constexpr size_t MaxPlacementsAtStop = 100;
 
-// A metrics connection that is idle for this long is closed.
-constexpr Duration ReportIdleTimeout = std::chrono::seconds(10);
-
 // The store removes the registration of an upstream that did not renew it for
 // three periods, and needs some time to notice.
 constexpr int PeriodsUntilRemoval = 3;
@@ -59,8 +56,7 @@
        StopHook OnStop);
 
   std::string start();
-  std::string openReport();
-  ForwarderView view() const;
+  ForwarderView view();
   void startCheck(const Upstream &Suspect);
   void onCheckResult(UpstreamId Id, std::optional<CheckResult> Result);
   void receiveReport(const PeerReport &Report);
@@ -109,7 +105,7 @@
   UdpEndpoint DataSocket;
   HeldPackets Held;
   HttpServer ReadinessServer;
-  HttpServer ReportServer;
+  ForwarderReportServer ReportServer;
   LoopEvent MaintenanceTimer;
   LoopEvent StopTimer;
   LoopEvent HoldTimer;
@@ -209,7 +205,7 @@
                onCheckResult(Id, Result);
              }),
       DataSocket(this->Protocol.MaxPacketBytes), ReadinessServer(Loop),
-      ReportServer(Loop, ReportIdleTimeout) {}
+      ReportServer(Loop, [this] { return view(); }) {}
 
 std::string Forwarder::Impl::start() {
   TimeSource.refresh();
@@ -232,7 +228,8 @@
         updateGate();
         Respond({isReady() ? 200 : 503, "{}"});
       });
-  if (std::string Problem = openReport(); !Problem.empty())
+  if (std::string Problem = ReportServer.open(Settings.MetricsAddress);
+      !Problem.empty())
     return Problem;
   Log.write(LogEvent::Started, [this] {
     return EventLog::Fields{{"version", Version},
@@ -251,28 +248,8 @@
   return {};
 }
 
-std::string Forwarder::Impl::openReport() {
-  if (Settings.MetricsAddress.Port == 0)
-    return {};
-  ReportServer.route(
-      "GET", "/metrics",
-      [this](const HttpRequest &, const HttpServer::Respond &Respond) {
-        TimeSource.refresh();
-        Respond({200, metricsText(view()), "text/plain; version=0.0.4"});
-      });
-  ReportServer.route(
-      "GET", "/status",
-      [this](const HttpRequest &, const HttpServer::Respond &Respond) {
-        TimeSource.refresh();
-        Respond({200, forwarderStatus(view())});
-      });
-  if (const auto Error = ReportServer.open(Settings.MetricsAddress))
-    return "cannot listen on " + toString(Settings.MetricsAddress) + ": " +
-           Error.message() + "; free this address or change /metricsAddress";
-  return {};
-}
-
-ForwarderView Forwarder::Impl::view() const {
+ForwarderView Forwarder::Impl::view() {
+  TimeSource.refresh();
   return {Metrics,
           Routes,
           Upstreams,
