Repeat a check without a reference at the usual interval

Cause: a check whose reference failed was repeated with each tick while the own path was down (found in reading the change).

Change: it is requested again and starts when it is due.

--- a/src/flow_steering_resets.cpp
+++ b/src/flow_steering_resets.cpp
@@ -60,7 +60,7 @@
 
 void FlowSteering::recordVoidCheck(UpstreamId Id) {
   if (Upstream *Target = Upstreams.find(Id))
-    Target->Reachability.recordVoidCheck();
+    Target->Reachability.requestCheck();
 }
 
 // Upstreams without an open flow here have nothing to be given up, and the
--- a/src/reachability_tracker.h
+++ b/src/reachability_tracker.h
@@ -61,13 +61,8 @@
     recordVerdict(ResetCause::ZoneSilent, Now);
   }
 
-  /// Records that a check told nothing, since its reference failed as well.
-  void recordVoidCheck() {
-    LastCheck = {};
-    requestCheck();
-  }
-
-  /// Makes a check due even without silence of this upstream.
+  /// Makes a check due even without silence of this upstream; also called if a
+  /// check told nothing, since its reference failed as well.
   void requestCheck() { IsCheckRequested = true; }
   bool isCheckRequested() const { return IsCheckRequested; }
 
