--- a/review/10/run.py
+++ b/review/10/run.py
@@ -1,109 +1,112 @@
-"""An instance with a slow link opens flows at a target long after it said that it leaves. See
-claim.txt."""
+"""After a planned restart, an instance sends the packets of open flows to the address of another
+writer's entry. See claim.txt."""
 
 import pathlib
+import random
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "lib-2"))
 import case as cases  # noqa: E402
-import deployment  # noqa: E402
-from link import Link  # noqa: E402
-
-# The bounds of the sheet with these links (andina-msg-now-grown).
-deployment.BOUNDS.update(StableMs=5000, ConfigApplyMs=5000, DrainMs=5000)
-DRAIN_S = deployment.BOUNDS["DrainMs"] / 1000
-LINK_MBPS = 10.0
-CHAT = ("198.18.0.1", 8080)
-ROUTE = ("chat-core", "non_idempotent", 600)
-# big_config, then config_storm, in the largest doses of the site files.
-MORE_ROUTES = 1400
-BIG_AT_S = 3.0
-STORM_AT_S, STORM_S, STORM_GAP_S = 9.0, 2.0, 0.08
-DRAIN_AT_S = STORM_AT_S + 1.5
-# The target goes on for DrainMs and some seconds longer, then it exits.
-EXIT_AT_S = DRAIN_AT_S + DRAIN_S + 6.0
-END_S = 25.0
-OPENINGS_PER_S = 60
+from deployment import BOUNDS  # noqa: E402
+
+PHOTOS = ("198.18.0.2", 8443)
+TIME_LIMIT_S = 3.0
+FLOWS = 24
+PAUSE_S = (0.3, 1.0)
+ODD_ENTRY_AT_S = 2.0
+# Each machine is stopped and started in turn.
+STOP_AT_S, STOP_EVERY_S = 4.0, 9.0
+END_S = 26.0
+MIN_STRAYS = 3
 
 
 def play(case):
-    loop = case.loop
-    targets = [case.add_target("chat-core") for _ in range(4)]
-    leaving = targets[0]
-    routes = {CHAT: ROUTE}
-    more = {("198.18.%d.%d" % (1 + number // 250, 1 + number % 250), 443): ROUTE
-            for number in range(MORE_ROUTES)}
-    version = 10
-    case.write_configuration(version, routes)
-    link = Link(case.store.servers[0].server_address, LINK_MBPS)
-    case.add_machine(store=link.address, link_mbps=LINK_MBPS)
-    case.add_machine(store=Link(case.store.servers[0].server_address, LINK_MBPS).address,
-                     link_mbps=LINK_MBPS)
+    loop, stray_s = case.loop, BOUNDS["FlowStrayMs"] / 1000
+    photos = [case.add_target("media-shelf") for _ in range(3)]
+    chat = case.add_target("chat-core")
+    case.write_configuration(10, {PHOTOS: ("media-shelf", "download", int(1000 * TIME_LIMIT_S))})
+    case.add_machine(), case.add_machine()
     case.wait_until_ready()
     clients = case.add_clients()
-    names = {machine.data_address: machine.name for machine in case.machines}
-    drained_at, violations = None, []
+    # The target of each open flow; when packets of a flow reached its own target or others.
+    owners, own_packets, strays, violations = {}, {}, {}, []
 
     def on_arrival(target, packet, source):
-        if target is leaving and packet.is_opening and drained_at is not None:
-            late = sent_at[(packet.source[1], packet.acknowledged)] - drained_at
-            case.record("a flow opens at the leaving target through %s, sent %.3f s after the "
-                        "ack" % (names[source], late))
-            if late > DRAIN_S:
-                violations.append("DRAIN: flow %d, sent %.0f ms after the store acknowledged that "
-                                  "the target leaves, reached it through %s" % (
-                                      packet.source[1], 1000 * late, names[source]))
-        return True
-
-    for target in targets:
-        target.on_arrival = on_arrival
-    sent_at = {}
-
-    def on_send(flow, packet, machine):
-        if packet.is_opening:
-            sent_at[(flow.port, packet.acknowledged)] = loop.now()
+        port, owner = packet.source[1], owners.get(packet.source[1])
+        if owner is target:
+            own_packets[port] = loop.now()
+            strays.pop(port, None)
+        elif owner is not None and not packet.is_opening:
+            strays.setdefault(port, []).append(loop.now())
+            case.record("a packet of flow %d, which is open at %s, reaches %s" % (
+                port, owner.name, target.name))
         return True
 
-    def on_event(flow, event, detail):
-        if event == "answered":
+    def on_open(target, packet, source):
+        owners[packet.source[1]] = target
+        case.record("flow %d is open at %s" % (packet.source[1], target.name))
+
+    for target in case.targets:
+        target.on_arrival, target.on_open = on_arrival, on_open
+
+    def request(flow):
+        if flow.state != "open":
+            return
+        clients.send_request(flow)
+        loop.after(stray_s + 0.1, lambda request_id=flow.waiting_for: judge(flow, request_id))
+        loop.after(TIME_LIMIT_S, lambda request_id=flow.waiting_for: give_up(flow, request_id))
+
+    def judge(flow, request_id):
+        """Whether three or more packets in FlowStrayMs reached other targets, none its own."""
+        times = [when for when in strays.get(flow.port, []) if when > loop.now() - stray_s - 0.1]
+        if flow.waiting_for == request_id and flow.state == "open" and len(times) >= MIN_STRAYS \
+                and own_packets.get(flow.port, 0) < loop.now() - stray_s:
+            violations.append("FLOW: %d packets of flow %d reached other targets in %.1f s, none "
+                              "its own" % (len(times), flow.port, stray_s))
+
+    def give_up(flow, request_id):
+        if flow.waiting_for == request_id and flow.state == "open":
+            case.record("request %s is not answered within its time limit" % request_id)
             clients.close(flow)
+            clients.open(PHOTOS, "GET")
 
-    clients.on_send, clients.on_event = on_send, on_event
-
-    def open_flow():
-        clients.open(CHAT, "POST")
-        loop.after(1 / OPENINGS_PER_S, open_flow)
-
-    def write():
-        nonlocal version
-        version += 2
-        case.write_configuration(version, {**routes, **more})
-
-    def storm(end):
-        if loop.now() < end:
-            write()
-            loop.after(STORM_GAP_S, lambda: storm(end))
-
-    def drain():
-        nonlocal drained_at
-        leaving.state = "draining"
-        leaving.check_in()
-        drained_at = loop.now()
-        case.record("the store acknowledges that %s leaves" % leaving.name)
-
-    def leave():
-        leaving.exit()
-        case.record("the leaving target exits; %d flows were open there" % len(leaving.flows))
+    def on_event(flow, event, detail):
+        if event == "opened":
+            loop.after(random.uniform(*PAUSE_S), lambda: request(flow))
+        elif event == "answered":
+            loop.after(random.uniform(*PAUSE_S), lambda: request(flow))
+        else:
+            clients.open(PHOTOS, "GET")
+
+    clients.on_event, clients.sends_at_once = on_event, False
+
+    def write_odd_entry():
+        """An entry of another writer that names no service of the configuration."""
+        target = photos[0]
+        entry = {**target.registration(), "Service": "backup",
+                 "Address": "%s:%d" % chat.endpoint}
+        case.store.put("servers/backup-%x" % target.identity, entry)
+        case.record("another writer puts servers/backup-%x: %s" % (target.identity, entry))
+
+    def watch():
+        for machine in case.machines:
+            machine.restart_if_ended(loop)
+        loop.after(0.05, watch)
 
     cases.wait_until(lambda: all(machine.in_rotation for machine in case.machines), 5)
     start = loop.now()
-    open_flow()
+    watch()
+    for number in range(FLOWS):
+        loop.at(start + 0.02 * number, lambda: clients.open(PHOTOS, "GET"))
     if case.trouble:
-        loop.at(start + BIG_AT_S, write)
-        loop.at(start + STORM_AT_S, lambda: storm(start + STORM_AT_S + STORM_S))
-    loop.at(start + DRAIN_AT_S, drain)
-    loop.at(start + EXIT_AT_S, leave)
+        loop.at(start + ODD_ENTRY_AT_S, write_odd_entry)
+    for number, machine in enumerate(case.machines):
+        loop.at(start + STOP_AT_S + number * STOP_EVERY_S,
+                lambda machine=machine: machine.signal(signal.SIGTERM))
     loop.run_until(start + END_S)
+    if len(owners) < FLOWS / 2:
+        case.not_run("too few flows were opened")
     return violations
 
 
