--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -84,8 +84,11 @@
         if self.process is None or self.is_removed or self.is_running():
             return
         self.own_ends += 1
+        # The record names no folder of the machine that it was made on.
+        output = self.log_path.read_text().strip().replace(str(self.settings_path),
+                                                           self.settings_path.name)
         self.record("%s ended by itself with code %d: %s" % (
-            self.name, self.process.returncode, self.log_path.read_text().strip()[-120:]))
+            self.name, self.process.returncode, output[-120:]))
         self.process = None
         loop.after(RESTART_DELAY_S, self.start)
 
