Accept numbers of the platform in every form that it gives them

Cause: the settings template passes on numbers of the platform, and the settings accepted whole numbers only, as if an operator had written them. The message of the process says so ("/linkMbps: found 2.6; give a whole number").

Change: linkMbps and the times from the platform may have fractions, up to 10 minutes instead of 30 s, since the wait of a watch is limited in the adapter. Instances still tell each other whole numbers, which earlier builds need, rounded up, so that a rate below 1 Mbit/s is not taken for an unknown one. Values that mean no time or rate are refused as before. drainLimitMs and other settings that only operators write stay whole numbers.

--- a/soak/sizes.py
+++ b/soak/sizes.py
@@ -49,4 +49,4 @@
                 bounds=Bounds(stable=5, configuration=5, drain=5), recovery_s=8, expiry_s=3.6,
                 settings={"maxStoreAgeMs": 5000, "changeBoundMs": 5000, "stopLimitS": 6,
                           "registrationPeriodMs": 1200},
-                links_mbps=(200, 10), seeds_per_zone=2)
+                links_mbps=(200, 9.6), seeds_per_zone=2)
--- a/src/forwarder_settings.cpp
+++ b/src/forwarder_settings.cpp
@@ -10,11 +10,11 @@
 // store all the time.
 constexpr uint64_t MinStoreAgeMs = 1500;
 constexpr uint64_t MinChangeBoundMs = 1000;
-constexpr uint64_t MaxStoreAgeMs = 30'000;
+constexpr uint64_t MaxStoreAgeMs = 600'000;
 constexpr uint64_t MinRegistrationPeriodMs = 50;
 constexpr uint64_t MaxRegistrationPeriodMs = 600'000;
 constexpr uint32_t MaxLogLines = 100'000;
-constexpr uint32_t MaxLinkMbps = 10'000'000;
+constexpr double MaxLinkMbps = 10'000'000;
 constexpr uint32_t MaxStopLimitS = 600;
 
 } // namespace
@@ -38,16 +38,18 @@
           Reader.fail("reportAddress", toString(Settings.ReportAddress),
                       "add \"peerAddress\", by which the other instances know "
                       "this one, or remove \"reportAddress\"");
-        Reader.milliseconds("maxStoreAgeMs", Settings.MaxStoreAge,
-                            MinStoreAgeMs, MaxStoreAgeMs);
-        Reader.milliseconds("changeBoundMs", Settings.ChangeBound,
-                            MinChangeBoundMs, MaxStoreAgeMs);
-        Reader.milliseconds("registrationPeriodMs", Settings.RegistrationPeriod,
-                            MinRegistrationPeriodMs, MaxRegistrationPeriodMs);
+        // The platform sets these; it gives any of them with a fraction.
+        Reader.fractionalMilliseconds("maxStoreAgeMs", Settings.MaxStoreAge,
+                                      MinStoreAgeMs, MaxStoreAgeMs);
+        Reader.fractionalMilliseconds("changeBoundMs", Settings.ChangeBound,
+                                      MinChangeBoundMs, MaxStoreAgeMs);
+        Reader.fractionalMilliseconds(
+            "registrationPeriodMs", Settings.RegistrationPeriod,
+            MinRegistrationPeriodMs, MaxRegistrationPeriodMs);
+        Reader.number("linkMbps", Settings.LinkMbps, 0, MaxLinkMbps);
+        Reader.seconds("stopLimitS", Settings.StopLimit, MaxStopLimitS);
         Reader.wholeNumber("logLinesPerSecond", Settings.LogLinesPerSecond,
                            MaxLogLines);
-        Reader.wholeNumber("linkMbps", Settings.LinkMbps, MaxLinkMbps);
-        Reader.seconds("stopLimitS", Settings.StopLimit, MaxStopLimitS);
         readPolicyOptions(Reader, Settings.Policy);
       });
   if (Errors.empty())
--- a/src/forwarder_settings.h
+++ b/src/forwarder_settings.h
@@ -35,9 +35,9 @@
   Duration ChangeBound = std::chrono::seconds(3);
   /// How often an upstream renews its registration.
   Duration RegistrationPeriod = std::chrono::milliseconds(1200);
-  /// Speed of the machine's network link. Instances with faster links read the
-  /// store on behalf of others.
-  uint32_t LinkMbps = 0;
+  /// Rate of the machine's network link in Mbit/s; 0 if unknown. Instances with
+  /// faster links read the store on behalf of others.
+  double LinkMbps = 0;
   /// Maximum number of log lines of one kind per second; 0 disables the log.
   uint32_t LogLinesPerSecond = 200;
   /// Time limit of a graceful shutdown, after which the process is killed from
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -17,7 +17,8 @@
   std::string Zone;
   /// Time since the instance was last heard from.
   Duration Age{};
-  /// Speed of the network link of the instance in Mbit/s.
+  /// Rate of the network link of the instance in Mbit/s, rounded up; 0 if
+  /// unknown.
   uint32_t LinkMbps = 0;
   bool operator==(const PeerInfo &) const = default;
 };
--- a/src/settings_reader.cpp
+++ b/src/settings_reader.cpp
@@ -46,7 +46,7 @@
 const Json *SettingsReader::find(const std::string &Key, bool Required) {
   KnownKeys.push_back(Key);
   const auto It = Object.find(Key);
-  if (It != Object.end())
+  if (It != Object.end() && (Required || !It->is_null()))
     return &*It;
   if (Required)
     fail(Key, "nothing", "add this key");
@@ -115,18 +115,32 @@
     Out = static_cast<uint32_t>(Number);
 }
 
-void SettingsReader::seconds(const std::string &Key, Duration &Out,
-                             uint32_t Max) {
+template <typename Unit>
+void SettingsReader::duration(const std::string &Key, Duration &Out,
+                              uint64_t Min, uint64_t Max,
+                              const std::string &UnitName) {
   const Json *Value = find(Key);
   if (Value == nullptr)
     return;
   const double Number = Value->is_number() ? Value->get<double>() : -1;
-  if (!(Number >= 0 && Number <= Max))
+  if (Number < static_cast<double>(Min) || Number > static_cast<double>(Max))
     fail(Key, Value->dump(),
-         "give a number of seconds from 0 to " + std::to_string(Max));
+         "give a number of " + UnitName + " from " + std::to_string(Min) +
+             " to " + std::to_string(Max));
   else
     Out = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(Number));
+        std::chrono::duration<double, Unit>(Number));
+}
+
+void SettingsReader::fractionalMilliseconds(const std::string &Key,
+                                            Duration &Out, uint64_t Min,
+                                            uint64_t Max) {
+  duration<std::milli>(Key, Out, Min, Max, "milliseconds");
+}
+
+void SettingsReader::seconds(const std::string &Key, Duration &Out,
+                             uint32_t Max) {
+  duration<std::ratio<1>>(Key, Out, 0, Max, "seconds");
 }
 
 void SettingsReader::boolean(const std::string &Key, bool &Out) {
--- a/src/settings_reader.h
+++ b/src/settings_reader.h
@@ -35,7 +35,7 @@
             const std::string &Remedy);
 
   /// Returns the value of \p Key, or null if it is absent, and marks the key as
-  /// known.
+  /// known. An optional key with the value null counts as absent.
   const nlohmann::json *find(const std::string &Key, bool Required = false);
 
   void text(const std::string &Key, std::string &Out, bool Required = false);
@@ -49,7 +49,11 @@
   /// A whole number from 0 to \p Max.
   void wholeNumber(const std::string &Key, uint32_t &Out, uint32_t Max);
 
-  /// A number from 0 to \p Max, fractions allowed.
+  /// A number of milliseconds from \p Min to \p Max, fractions allowed.
+  void fractionalMilliseconds(const std::string &Key, Duration &Out,
+                              uint64_t Min, uint64_t Max);
+
+  /// A number of seconds from 0 to \p Max, fractions allowed.
   void seconds(const std::string &Key, Duration &Out, uint32_t Max);
 
   void boolean(const std::string &Key, bool &Out);
@@ -68,6 +72,9 @@
   void reportUnknownKeys();
 
 private:
+  template <typename Unit>
+  void duration(const std::string &Key, Duration &Out, uint64_t Min,
+                uint64_t Max, const std::string &UnitName);
   void parseEndpointValue(const std::string &Key, const nlohmann::json &Value,
                           Endpoint &Out);
   std::string nearest(const std::string &Key) const;
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -1,6 +1,7 @@
 #include "store_follower.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "event_loop.h"
 #include "peer_exchange.h"
@@ -23,8 +24,11 @@
       Settings.Policy.StoreSharing.DelayAfterChangeShare);
 }
 
+// Instances exchange whole numbers. A slow link must not become 0, which stands
+// for an unknown rate.
 PeerInfo ownPeerInfo(const ForwarderSettings &Settings) {
-  return {Settings.PeerAddress, Settings.Zone, Duration(), Settings.LinkMbps};
+  return {Settings.PeerAddress, Settings.Zone, Duration(),
+          static_cast<uint32_t>(std::ceil(Settings.LinkMbps))};
 }
 
 } // namespace
--- a/tests/store_codec_test.cpp
+++ b/tests/store_codec_test.cpp
@@ -241,6 +241,9 @@
             "/kv-range?Prefix=&after=servers/i-1%202");
   EXPECT_EQ(encodeQuery(watch(411, 3100ms)).Target,
             "/kv-watch?Prefix=&after=411&WaitMs=3100");
+  // The store refuses a longer wait.
+  EXPECT_EQ(encodeQuery(watch(411, 60s)).Target,
+            "/kv-watch?Prefix=&after=411&WaitMs=30000");
 }
 
 TEST(StoreCodecTest, DecodesEvents) {
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -8,6 +8,7 @@
 #include "http_server.h"
 #include "loop_test_support.h"
 #include "manual_peer.h"
+#include "peer_codec.h"
 
 namespace indigopoint {
 namespace {
@@ -79,6 +80,31 @@
     EXPECT_LT(Calls[Index] - Calls[Index - 1], 700ms) << Index;
 }
 
+// Guards against an instance with a slow link that counts as one of unknown
+// rate, or whose rate other builds cannot read.
+TEST_F(StoreFollowerTest, PeersGetAWholeLinkRateAboveZero) {
+  for (const auto &[Mbps, Told] : std::vector<std::pair<double, std::string>>{
+           {0, "0"}, {0.25, "1"}, {2.6, "3"}, {1000, "1000"}}) {
+    std::string Received;
+    HttpServer Peer(Loop);
+    Peer.route("GET", PeerPath,
+               [&](const HttpRequest &Call, const HttpServer::Respond &) {
+                 Received = Call.Query.at("link_mbps");
+               });
+    ASSERT_FALSE(Peer.open(AnyPort));
+    Settings.PeerAddress = unusedAddress();
+    Settings.Seeds = {Peer.address()};
+    Settings.LinkMbps = Mbps;
+    StoreFollower Follower(
+        Loop, Settings, protocol(), TimeSource, Log,
+        {[](const StoreSync::Update &) {}, [] { return ConfigVersion(); },
+         [](const StoreItem &, const StoreItem *) { return false; }});
+    ASSERT_EQ(Follower.start(), "");
+    ASSERT_TRUE(runUntil(Loop, [&] { return !Received.empty(); }));
+    EXPECT_EQ(Received, Told);
+  }
+}
+
 // Guards against data that seems newer by the time for which the answer waited
 // for a stalled process.
 TEST_F(StoreFollowerTest, AgeCountsFromTheArrivalOfTheAnswer) {
