Keep the key that registers an upstream; ignore services that are not named

What callers saw: after a planned restart of the instances, requests on flows that were open at an upstream were never answered.

Cause: the id of an upstream is the number in which a key ends, and the key that was read first kept the id. For a running instance that is the upstream's own key, for one that starts it is the first in the order of names. The log of the case shows it: after the restart upstream-changed adds with the service "backup", entry-unreadable names the upstream's own key, and flow-adopted sends its flows there. Ruled out: the tag, which names the right id, and peers' copies (the case has the same effect with the store alone).

Change: an upstream keeps its key until it is forgotten, also while it is not registered, since flows are still open at its address. Of keys that are read together the one that was created first counts. An entry whose service the configuration does not name is kept apart (PendingRegistrations) and counts once a configuration names the service; an upstream whose service a later configuration drops keeps its flows.

Some fixtures registered upstreams of a service that no configuration named: StoreUpdateApplierTest and ModelInstance now name "chat", and EvacuationPathTest lists the service "other", which still has no route; no expectation changed. The soak writes foreign entries under such keys too.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,8 +9,8 @@
 import time
 
 from fault_proxy import Mode
-from flow_platform import (COLD_PER_S, CONFIGURATION_KEY, configuration, evacuation_key,
-                           foreign_entries)
+from flow_platform import (COLD_PER_S, CONFIGURATION_KEY, alias_key, configuration,
+                           evacuation_key, foreign_entries)
 from load import BusyProcesses, Starvation
 from oracle import Version
 
@@ -443,8 +443,10 @@
     def foreign_entry(self):
         """Another writer puts an entry that names no usable upstream among the registrations."""
         foreign = self.system.foreign
-        self.system.store.put(foreign.key, self.random.choice(foreign_entries(foreign.address)))
-        self.later(self.duration(FAULT_S), lambda: self.system.store.remove(foreign.key))
+        alias = alias_key(self.random.choice(self.system.upstreams).identity)
+        key = self.random.choice([foreign.key, alias])
+        self.system.store.put(key, self.random.choice(foreign_entries(foreign.address)))
+        self.later(self.duration(FAULT_S), lambda: self.system.store.remove(key))
         return True
 
     # The configuration.
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -15,9 +15,14 @@
 RouteTable::Change RouteTable::replace(RouteConfiguration NewConfiguration) {
   Change Result;
   decltype(Routes) NewRoutes;
+  std::set<std::string> NewNames;
+  for (const auto &[Name, Settings] : NewConfiguration.Services)
+    NewNames.insert(Name);
   for (Route &NewRoute : NewConfiguration.Routes) {
     if (Routes.count(NewRoute.Address) == 0)
       ++Result.Added;
+    for (const RouteShare &Share : NewRoute.Shares)
+      NewNames.insert(Share.Service);
     const Endpoint Address = NewRoute.Address;
     NewRoutes.insert_or_assign(Address, std::move(NewRoute));
   }
@@ -25,6 +30,7 @@
   Result.Applied = true;
   Routes = std::move(NewRoutes);
   Services = std::move(NewConfiguration.Services);
+  NamedServices = std::move(NewNames);
   Version = NewConfiguration.Version;
   IdleTimeout = NewConfiguration.IdleTimeout;
   HasConfiguration = true;
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -81,6 +82,12 @@
   /// The route for an address and port; null if there is none.
   const Route *find(Endpoint Address) const;
 
+  /// Whether the configuration names a service, in a route or in a list of its
+  /// own.
+  bool namesService(const std::string &Name) const {
+    return NamedServices.count(Name) != 0;
+  }
+
   /// The settings of a service; the defaults if the configuration does not name
   /// it.
   const ServiceSettings &service(const std::string &Name) const;
@@ -103,6 +110,7 @@
   Duration IdleTimeout = std::chrono::seconds(15);
   std::unordered_map<Endpoint, Route, EndpointHash> Routes;
   std::map<std::string, ServiceSettings> Services;
+  std::set<std::string> NamedServices;
 };
 
 } // namespace indigopoint
--- a/src/store_update_applier.cpp
+++ b/src/store_update_applier.cpp
@@ -21,6 +21,8 @@
   IsFromRestoredStore = Update.IsFromRestoredStore;
   if (!Update.isSnapshotOrPage() || Update.startsSnapshot())
     clearSnapshot();
+  if (Update.startsSnapshot())
+    Pending.startSnapshot();
   if (IsFromRestoredStore && Update.startsSnapshot())
     Review.begin(TimeSource.now());
   for (const StoreItem &Item : Update.Items)
@@ -29,13 +31,16 @@
                    [&](const auto &Decoded) { applyItem(Item, Decoded); }},
         Decode(Item));
   if (Update.endsSnapshot()) {
+    Pending.finishSnapshot();
     removeMissingUpstreams();
     endMissingEvacuations();
   }
+  registerPending();
 }
 
 void StoreUpdateApplier::clearSnapshot() {
   SnapshotUpstreams.clear();
+  NewUpstreams.clear();
   SnapshotEvacuations.clear();
 }
 
@@ -53,6 +58,7 @@
     endEvacuation(Zone, 0);
   if (const auto Config = Review.takeDeferredConfiguration(Now))
     replaceConfiguration(*Config, 0);
+  registerPending();
 }
 
 bool StoreUpdateApplier::supersedes(const StoreItem &Known,
@@ -73,22 +79,23 @@
 void StoreUpdateApplier::applyItem(const StoreItem &Item,
                                    const UpstreamRegistration &Registration) {
   const UpstreamId Id = Registration.Id;
-  if (!mayChange(Item, Id))
-    return logUnreadable(Item,
-                         "another key registers the upstream " + toHex(Id));
+  const KeyedRegistration Entry{Item.Key, Registration, Item.CreatedRevision,
+                                Item.Revision};
+  Pending.erase(Item.Key);
+  if (!mayRegister(Entry)) {
+    defer(Entry);
+    return;
+  }
   SnapshotUpstreams.push_back(Id);
   const auto Verdict =
       IsFromRestoredStore
           ? RestorationReview::judge(Registration, Upstreams.find(Id))
           : RestorationReview::Verdict::Apply;
-  const bool IsApplied = Verdict == RestorationReview::Verdict::Apply;
-  if (IsApplied) {
+  if (Verdict == RestorationReview::Verdict::Apply) {
     Review.release(Id);
-    put(Registration, Item.CreatedRevision, Item.Revision);
-  }
-  Upstreams.find(Id)->RegistrationKey = Item.Key;
-  if (IsApplied)
+    registerUpstream(Entry);
     return;
+  }
   const bool IsHeld = Verdict == RestorationReview::Verdict::Hold;
   if (IsHeld)
     Review.hold({Registration, Item.CreatedRevision});
@@ -102,10 +109,68 @@
   });
 }
 
-bool StoreUpdateApplier::mayChange(const StoreItem &Item, UpstreamId Id) {
+bool StoreUpdateApplier::isKeyOf(const std::string &Key, UpstreamId Id) {
   const Upstream *Known = Upstreams.find(Id);
-  return Known == nullptr || Known->State == UpstreamState::Unregistered ||
-         Known->RegistrationKey == Item.Key;
+  return Known != nullptr && Known->RegistrationKey == Key;
+}
+
+// An entry of another writer may end in the id of an upstream. It names a
+// service that does not exist, or it is a copy, and was created later. An
+// upstream keeps its key, and with it the address of its open flows, until it
+// is forgotten.
+bool StoreUpdateApplier::mayRegister(const KeyedRegistration &Entry) {
+  const UpstreamRegistration &Registration = Entry.Registration;
+  const Upstream *Known = Upstreams.find(Registration.Id);
+  const bool HasSameKey =
+      Known != nullptr && Known->RegistrationKey == Entry.Key;
+  // The flows of an upstream go on when a configuration no longer names its
+  // service.
+  if (HasSameKey && Known->Registration.Service == Registration.Service)
+    return true;
+  if (!Routes.namesService(Registration.Service))
+    return false;
+  if (Known == nullptr || HasSameKey)
+    return true;
+  // Keys that are read together come in the order of their names.
+  return NewUpstreams.count(Registration.Id) != 0 &&
+         Entry.CreatedRevision < Known->CreatedRevision;
+}
+
+void StoreUpdateApplier::defer(KeyedRegistration Entry) {
+  const UpstreamRegistration &Registration = Entry.Registration;
+  if (isKeyOf(Entry.Key, Registration.Id))
+    logUpstream(Registration.Id,
+                Upstreams.remove(Registration.Id, TimeSource.now()),
+                Entry.Revision);
+  const bool IsServiceNamed = Routes.namesService(Registration.Service);
+  if (Routes.isLoaded())
+    logUnreadable(Entry.Key, Entry.Revision,
+                  IsServiceNamed
+                      ? "another key registers the upstream " +
+                            toHex(Registration.Id)
+                      : "the configuration does not name the service " +
+                            Registration.Service);
+  Pending.put(std::move(Entry));
+}
+
+void StoreUpdateApplier::registerUpstream(const KeyedRegistration &Entry) {
+  const UpstreamId Id = Entry.Registration.Id;
+  put(Entry.Registration, Entry.CreatedRevision, Entry.Revision);
+  if (!isKeyOf(Entry.Key, Id))
+    NewUpstreams.insert(Id);
+  Upstreams.find(Id)->RegistrationKey = Entry.Key;
+}
+
+// An entry that is registered between the pages of a snapshot would be missing
+// from those that were read before.
+void StoreUpdateApplier::registerPending() {
+  if (ContentKind == Content::FirstPage || ContentKind == Content::NextPage)
+    return;
+  for (const KeyedRegistration &Entry : Pending.entries())
+    if (mayRegister(Entry)) {
+      registerUpstream(Entry);
+      Pending.erase(Entry.Key);
+    }
 }
 
 void StoreUpdateApplier::put(const UpstreamRegistration &Registration,
@@ -117,7 +182,8 @@
 
 void StoreUpdateApplier::applyItem(const StoreItem &Item,
                                    const UpstreamRemoval &Removal) {
-  if (!mayChange(Item, Removal.Id))
+  Pending.erase(Item.Key);
+  if (!isKeyOf(Item.Key, Removal.Id))
     return;
   Review.release(Removal.Id);
   logUpstream(Removal.Id, Upstreams.remove(Removal.Id, TimeSource.now()),
@@ -234,17 +300,18 @@
 // are kept.
 void StoreUpdateApplier::applyItem(const StoreItem &Item,
                                    const UnreadableItem &Unreadable) {
-  logUnreadable(Item, Unreadable.Reason);
+  logUnreadable(Item.Key, Item.Revision, Unreadable.Reason);
   if (Unreadable.Upstream)
     applyItem(Item, UpstreamRemoval{*Unreadable.Upstream});
 }
 
-void StoreUpdateApplier::logUnreadable(const StoreItem &Item,
+void StoreUpdateApplier::logUnreadable(const std::string &Key,
+                                       uint64_t Revision,
                                        const std::string &Reason) {
   Log.write(LogEvent::EntryUnreadable, [&] {
-    return EventLog::Fields{{"key", Item.Key},
+    return EventLog::Fields{{"key", Key},
                             {"reason", Reason.substr(0, MaxReasonBytes)},
-                            {"revision", Item.Revision}};
+                            {"revision", Revision}};
   });
 }
 
--- a/src/store_update_applier.h
+++ b/src/store_update_applier.h
@@ -2,11 +2,13 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 
 #include "clock.h"
 #include "event_log.h"
+#include "pending_registrations.h"
 #include "restoration_review.h"
 #include "route_table.h"
 #include "store_sync.h"
@@ -83,10 +85,17 @@
   void clearSnapshot();
   void removeMissingUpstreams();
   void endMissingEvacuations();
-  /// Whether the item may change the upstream; false if another key registers
-  /// it.
-  bool mayChange(const StoreItem &Item, UpstreamId Id);
-  void logUnreadable(const StoreItem &Item, const std::string &Reason);
+  /// Whether the key registers the upstream, or did when it was last
+  /// registered.
+  bool isKeyOf(const std::string &Key, UpstreamId Id);
+  bool mayRegister(const KeyedRegistration &Entry);
+  void defer(KeyedRegistration Entry);
+  void registerUpstream(const KeyedRegistration &Entry);
+  /// Registers upstreams whose service the configuration names by now, or whose
+  /// key was that of an upstream that has been forgotten since.
+  void registerPending();
+  void logUnreadable(const std::string &Key, uint64_t Revision,
+                     const std::string &Reason);
   void endEvacuation(const std::string &Zone, uint64_t Revision);
   void logUpstream(UpstreamId Id, UpstreamRegistry::Change Change,
                    uint64_t Revision);
@@ -102,6 +111,10 @@
   bool IsFromRestoredStore = false;
   /// Upstreams that are registered in the snapshot that is being read.
   std::vector<UpstreamId> SnapshotUpstreams;
+  /// Upstreams that got their key from the snapshot or the changes that are
+  /// being read.
+  std::set<UpstreamId> NewUpstreams;
+  PendingRegistrations Pending;
   /// Zones that are evacuated in the snapshot that is being read.
   std::vector<std::string> SnapshotEvacuations;
 };
--- a/standins/flow_platform.py
+++ b/standins/flow_platform.py
@@ -26,6 +26,11 @@
     return "servers/i-%x" % identity
 
 
+def alias_key(identity):
+    """A key of another writer that ends in the id of an upstream and sorts before its own."""
+    return "servers/a-%x" % identity
+
+
 def evacuation_key(zone):
     return "op/evacuate/" + zone
 
--- a/tests/evacuation_path_test.cpp
+++ b/tests/evacuation_path_test.cpp
@@ -72,7 +72,8 @@
                           {{{"Name", "r"},
                             {"Host", "198.18.0.1"},
                             {"Prefix", "/443/"},
-                            {"Service", "chat"}}}}};
+                            {"Service", "chat"}}}},
+                         {"Services", {{{"Name", "other"}}}}};
     Json Items = {item("op/config", Config)};
     for (auto &[Name, Target] : Upstreams)
       Items.push_back(item("servers/i-" + Name,
--- a/tests/model_instance.cpp
+++ b/tests/model_instance.cpp
@@ -21,7 +21,8 @@
       return IgnoredItem{};
     return RouteConfiguration{ConfigVersion(Version),
                               {{"route", ModelRoute, {{Service, 1}}, true}},
-                              std::chrono::seconds(15)};
+                              std::chrono::seconds(15),
+                              {{"chat", {}}}};
   }
   const UpstreamId Id(std::stoull(Item.Key.substr(upstreamKey(0).size() - 1)));
   if (Item.Deleted)
--- a/tests/odd_entries.cpp
+++ b/tests/odd_entries.cpp
@@ -1,5 +1,7 @@
 #include "odd_entries.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "base64.h"
@@ -136,6 +138,8 @@
 // Keys that name no upstream, or that lead to the id of another one.
 void addKeys(std::vector<OddEntry> &Out) {
   const std::string Entry = valid().dump();
+  Json Unnamed = valid();
+  Unnamed["Service"] = "backup";
   Out.push_back({"KeyWithoutId", "servers/", Entry});
   Out.push_back({"KeyWithoutDigits", "servers/i-", Entry});
   Out.push_back({"KeyOfIdZero", "servers/i-0", Entry});
@@ -146,6 +150,8 @@
     Out.push_back({"AliasKey" + std::to_string(Out.size()), Alias, Entry});
     Out.push_back(
         {"AliasKeyUnreadable" + std::to_string(Out.size()), Alias, "{"});
+    Out.push_back({"AliasKeyOfUnnamedService" + std::to_string(Out.size()),
+                   Alias, Unnamed.dump()});
   }
   Out.push_back({"OtherKey", "stats/i-b", Entry});
 }
@@ -172,23 +178,29 @@
   return Entry.dump();
 }
 
-OddEntryWorld::OddEntryWorld()
-    : Steering({"a", makeZoneAwareLeastFlowsPolicy("a")}, TimeSource, Routes,
+OddEntryWorld::Instance::Instance(ManualClock &TimeSource)
+    : Log({"test"}, TimeSource),
+      Steering({"a", makeZoneAwareLeastFlowsPolicy("a")}, TimeSource, Routes,
                Upstreams, Metrics, {}),
-      Applier(std::make_unique<StoreUpdateApplier>(
-          platform::decodeItem, TimeSource, Log, Routes, Upstreams,
-          std::chrono::seconds(3))) {
+      Applier(platform::decodeItem, TimeSource, Log, Routes, Upstreams,
+              std::chrono::seconds(3)) {}
+
+OddEntryWorld::OddEntryWorld()
+    : Current(std::make_unique<Instance>(TimeSource)) {
   apply(validItems(), true);
   OpenFlow.Flow = {{0x64400001, 1}, ServiceAddress};
   OpenFlow.Sequence = 1000;
   OpenFlow.IsOpening = true;
-  const SteeringDecision Decision = Steering.steer(OpenFlow);
+  const SteeringDecision Decision = Current->Steering.steer(OpenFlow);
   OpenFlow.IsOpening = false;
   OpenFlow.Sequence = 1001;
   OpenFlow.DataBytes = 10;
   OpenFlow.Tag = Decision.Tag;
-  if (Decision.Target != nullptr)
-    OpenFlowUpstream = Decision.Target->Registration.Id.value();
+  if (Decision.Target == nullptr)
+    return;
+  OpenFlowUpstream = Decision.Target->Registration.Id.value();
+  // Its answer has the tag of an open flow.
+  OpenFlow.Tag = Current->Steering.steer(OpenFlow).Tag;
 }
 
 std::vector<OddEntry> OddEntryWorld::validItems() const {
@@ -208,9 +220,12 @@
 bool OddEntryWorld::apply(const std::vector<OddEntry> &Items, bool IsSnapshot) {
   Json Entries = Json::array();
   for (const OddEntry &Item : Items)
-    Entries.push_back({{"Key", Item.Key},
-                       {"Value", encodeBase64(Item.Value)},
-                       {"Revision", ++Revision}});
+    Entries.push_back(
+        {{"Key", Item.Key},
+         {"Value", encodeBase64(Item.Value)},
+         {"Revision", ++Revision},
+         {"CreateRev",
+          CreatedRevisions.try_emplace(Item.Key, Revision).first->second}});
   StoreQuery Query;
   Query.QueryKind =
       IsSnapshot ? StoreQuery::Kind::Snapshot : StoreQuery::Kind::Watch;
@@ -225,7 +240,7 @@
   Update.ContentKind = IsSnapshot ? StoreSync::Update::Content::Snapshot
                                   : StoreSync::Update::Content::Changes;
   Update.Items = std::move(Result.Items);
-  Applier->apply(Update);
+  Current->Applier.apply(Update);
   return true;
 }
 
@@ -247,7 +262,17 @@
   return apply(Items, true);
 }
 
+void OddEntryWorld::restart(const std::string &Key, const std::string &Value) {
+  std::vector<OddEntry> Items = validItems();
+  Items.push_back({"", Key, Value});
+  std::sort(Items.begin(), Items.end(),
+            [](const OddEntry &A, const OddEntry &B) { return A.Key < B.Key; });
+  Current = std::make_unique<Instance>(TimeSource);
+  apply(Items, true);
+}
+
 std::string OddEntryWorld::problem(uint64_t OwnId) {
+  auto &[Log, Routes, Upstreams, Metrics, Steering, Applier] = *Current;
   for (const uint64_t Id : {11, 12, 13}) {
     const Upstream *Known = Upstreams.find(UpstreamId(Id));
     if (Known == nullptr)
--- a/tests/odd_entries.h
+++ b/tests/odd_entries.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -36,23 +37,35 @@
   /// Applies a snapshot in which the entry stands among the others.
   bool applySnapshot(const std::string &Key, const std::string &Value);
 
+  /// Starts the instance again. Its first snapshot has the entry at its place
+  /// in the order of keys.
+  void restart(const std::string &Key, const std::string &Value);
+
   /// What is wrong with the upstreams, the routes or the open flow; empty if
   /// all are as they were. \p OwnId is the upstream in whose place the entry
   /// stands; 0 if there is none.
   std::string problem(uint64_t OwnId = 0);
 
 private:
+  /// The state of one process.
+  struct Instance {
+    explicit Instance(ManualClock &TimeSource);
+
+    EventLog Log;
+    RouteTable Routes;
+    UpstreamRegistry Upstreams;
+    SteeringMetrics Metrics;
+    FlowSteering Steering;
+    StoreUpdateApplier Applier;
+  };
+
   bool apply(const std::vector<OddEntry> &Items, bool IsSnapshot);
   std::vector<OddEntry> validItems() const;
 
   ManualClock TimeSource;
-  EventLog Log{{"test"}, TimeSource};
-  RouteTable Routes;
-  UpstreamRegistry Upstreams;
-  SteeringMetrics Metrics;
-  FlowSteering Steering;
-  std::unique_ptr<StoreUpdateApplier> Applier;
+  std::unique_ptr<Instance> Current;
   uint64_t Revision = 0;
+  std::map<std::string, uint64_t> CreatedRevisions;
   uint32_t ChangedSlots = 2;
   PacketHeader OpenFlow;
   uint64_t OpenFlowUpstream = 0;
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -22,6 +22,16 @@
   EXPECT_TRUE(World.applyChange("servers/i-9", registrationOf(9)));
 }
 
+// The same for an instance that starts while the entry is there: it has not
+// seen the upstreams before, and the entry may come first.
+TEST_P(OddEntryTest, LeavesTheOthersAsTheyAreAtAStart) {
+  const OddEntry &Odd = GetParam();
+  OddEntryWorld World;
+  EXPECT_TRUE(World.applyChange(Odd.Key, Odd.Value));
+  World.restart(Odd.Key, Odd.Value);
+  EXPECT_EQ(World.problem(), "");
+}
+
 // The same in the place of an upstream, which is not used meanwhile.
 TEST_P(OddEntryTest, InThePlaceOfAnUpstreamChangesThisOneOnly) {
   const OddEntry &Odd = GetParam();
--- a/tests/store_update_applier_test.cpp
+++ b/tests/store_update_applier_test.cpp
@@ -18,7 +18,7 @@
   if (Item.Value == "bad")
     return UnreadableItem{"broken", UpstreamId(Number)};
   if (Key[0] == 'c')
-    return RouteConfiguration{ConfigVersion(Number), {}, {}};
+    return RouteConfiguration{ConfigVersion(Number), {}, {}, {{"chat", {}}}};
   if (Key[0] == 'e')
     return ZoneEvacuation{Key.substr(1), Item.Deleted};
   if (Item.Deleted)
@@ -70,7 +70,7 @@
 }
 
 TEST_F(StoreUpdateApplierTest, SnapshotRemovesMissingUpstreams) {
-  apply(Content::Snapshot, {"u1", "u2"});
+  apply(Content::Snapshot, {"c7", "u1", "u2"});
   apply(Content::Snapshot, {"u2"});
   EXPECT_EQ(Upstreams.find(UpstreamId(1))->State, UpstreamState::Unregistered);
   EXPECT_EQ(Upstreams.find(UpstreamId(2))->State, UpstreamState::Ready);
@@ -78,7 +78,7 @@
 }
 
 TEST_F(StoreUpdateApplierTest, ChangesDoNotRemoveOtherUpstreams) {
-  apply(Content::Snapshot, {"u1", "u2"});
+  apply(Content::Snapshot, {"c7", "u1", "u2"});
   apply(Content::Changes, {"u3"});
   EXPECT_EQ(Upstreams.count(UpstreamState::Ready), 3U);
 }
@@ -86,7 +86,7 @@
 // Guards against an unreadable registration that leaves its upstream in use or
 // disables other upstreams.
 TEST_F(StoreUpdateApplierTest, UnreadableItemDisablesItsUpstream) {
-  apply(Content::Snapshot, {"u1", "u2"});
+  apply(Content::Snapshot, {"c7", "u1", "u2"});
   apply(Content::Changes, {"u1"}, false, "bad");
   EXPECT_EQ(Upstreams.find(UpstreamId(1))->State, UpstreamState::Unregistered);
   EXPECT_EQ(Upstreams.find(UpstreamId(2))->State, UpstreamState::Ready);
@@ -96,7 +96,7 @@
 }
 
 TEST_F(StoreUpdateApplierTest, DeletionDisablesUpstream) {
-  apply(Content::Snapshot, {"u1"});
+  apply(Content::Snapshot, {"c7", "u1"});
   apply(Content::Changes, {"u1"}, true);
   EXPECT_EQ(Upstreams.find(UpstreamId(1))->State, UpstreamState::Unregistered);
 }
@@ -105,7 +105,7 @@
 // waited 2 s for all pages although the first page was sufficient to serve.
 TEST_F(StoreUpdateApplierTest,
        PagesAreUsedImmediatelyAndRemoveNothingBeforeLastPage) {
-  apply(Content::Snapshot, {"u1", "u2"});
+  apply(Content::Snapshot, {"c7", "u1", "u2"});
   apply(Content::FirstPage, {"c7", "u3"});
   EXPECT_TRUE(Routes.isLoaded());
   EXPECT_EQ(Upstreams.count(UpstreamState::Ready), 3U);
