--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -27,6 +27,7 @@
     "snapshot-taken",
     "configuration-applied",
     "configuration-ignored",
+    "configuration-deferred",
     "upstream-changed",
     "evacuation-started",
     "evacuation-ended",
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -38,6 +38,8 @@
   SnapshotTaken,
   ConfigurationApplied,
   ConfigurationIgnored,
+  /// A lower version than the one in force was written to the restored store.
+  ConfigurationDeferred,
   UpstreamChanged,
   /// An operator asked that a zone's upstreams get no new flows, or withdrew
   /// that.
@@ -64,7 +66,7 @@
   LinesSuppressed
 };
 
-constexpr size_t LogEventCount = 29;
+constexpr size_t LogEventCount = 30;
 
 std::string_view nameOf(LogEvent Value);
 
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -189,7 +189,14 @@
                 [this](const StoreItem &Known, const StoreItem *Restored) {
                   return UpdateApplier.supersedes(Known, Restored);
                 },
-                [this] { return Lateness.recentMax(TimeSource.now()); }}),
+                [this] { return Lateness.recentMax(TimeSource.now()); },
+                {[this] { return UpdateApplier.undecidedVersion(); },
+                 [this](ConfigVersion Version) {
+                   return UpdateApplier.lostConfigurations(Version);
+                 },
+                 [this](const std::vector<LostConfiguration> &Known) {
+                   UpdateApplier.recordLostConfigurations(Known);
+                 }}}),
       FlowLog(Log, TimeSource, Routes, Follower, Lateness),
       Reports(Loop,
               {this->Settings.ReportAddress, this->Settings.PeerAddress,
@@ -390,6 +397,9 @@
   Upstreams.recordStoreSync(Follower.sync().confirmedAt());
   if (!Pauses.isOutdated(Follower.sync().confirmedAt(), TimeSource.now()))
     UpdateApplier.applyDue();
+  // A watch can last longer than the bound for changes leaves.
+  if (UpdateApplier.takeConfirmationRequest())
+    Follower.confirmNow();
   updateGate();
   dropExpired();
   Steering.startRequestedChecks();
--- a/src/gen/protocol_types.cpp
+++ b/src/gen/protocol_types.cpp
@@ -2226,6 +2226,43 @@
   return *this;
 }
 
+LostConfiguration::~LostConfiguration() noexcept {
+}
+
+
+void LostConfiguration::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void LostConfiguration::__set_contentHash(const int64_t val) {
+  this->contentHash = val;
+}
+
+void swap(LostConfiguration &a, LostConfiguration &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.contentHash, b.contentHash);
+}
+
+LostConfiguration::LostConfiguration(const LostConfiguration& other202) noexcept {
+  version = other202.version;
+  contentHash = other202.contentHash;
+}
+LostConfiguration::LostConfiguration(LostConfiguration&& other203) noexcept {
+  version = other203.version;
+  contentHash = other203.contentHash;
+}
+LostConfiguration& LostConfiguration::operator=(const LostConfiguration& other204) noexcept {
+  version = other204.version;
+  contentHash = other204.contentHash;
+  return *this;
+}
+LostConfiguration& LostConfiguration::operator=(LostConfiguration&& other205) noexcept {
+  version = other205.version;
+  contentHash = other205.contentHash;
+  return *this;
+}
+
 PeerState::~PeerState() noexcept {
 }
 
@@ -2266,6 +2303,10 @@
   this->unpackedRetainedBytes = val;
 }
 
+void PeerState::__set_lost(const std::vector<LostConfiguration> & val) {
+  this->lost = val;
+}
+
 void swap(PeerState &a, PeerState &b) {
   using ::std::swap;
   swap(a.revision, b.revision);
@@ -2277,57 +2318,62 @@
   swap(a.era, b.era);
   swap(a.packedRetainedItems, b.packedRetainedItems);
   swap(a.unpackedRetainedBytes, b.unpackedRetainedBytes);
+  swap(a.lost, b.lost);
   swap(a.__isset, b.__isset);
 }
 
-PeerState::PeerState(const PeerState& other208) {
-  revision = other208.revision;
-  age = other208.age;
-  complete = other208.complete;
-  packedItems = other208.packedItems;
-  unpackedBytes = other208.unpackedBytes;
-  peers = other208.peers;
-  era = other208.era;
-  packedRetainedItems = other208.packedRetainedItems;
-  unpackedRetainedBytes = other208.unpackedRetainedBytes;
-  __isset = other208.__isset;
-}
-PeerState::PeerState(PeerState&& other209) noexcept {
-  revision = other209.revision;
-  age = other209.age;
-  complete = other209.complete;
-  packedItems = std::move(other209.packedItems);
-  unpackedBytes = other209.unpackedBytes;
-  peers = std::move(other209.peers);
-  era = other209.era;
-  packedRetainedItems = std::move(other209.packedRetainedItems);
-  unpackedRetainedBytes = other209.unpackedRetainedBytes;
-  __isset = other209.__isset;
-}
-PeerState& PeerState::operator=(const PeerState& other210) {
-  revision = other210.revision;
-  age = other210.age;
-  complete = other210.complete;
-  packedItems = other210.packedItems;
-  unpackedBytes = other210.unpackedBytes;
-  peers = other210.peers;
-  era = other210.era;
-  packedRetainedItems = other210.packedRetainedItems;
-  unpackedRetainedBytes = other210.unpackedRetainedBytes;
-  __isset = other210.__isset;
-  return *this;
-}
-PeerState& PeerState::operator=(PeerState&& other211) noexcept {
-  revision = other211.revision;
-  age = other211.age;
-  complete = other211.complete;
-  packedItems = std::move(other211.packedItems);
-  unpackedBytes = other211.unpackedBytes;
-  peers = std::move(other211.peers);
-  era = other211.era;
-  packedRetainedItems = std::move(other211.packedRetainedItems);
-  unpackedRetainedBytes = other211.unpackedRetainedBytes;
-  __isset = other211.__isset;
+PeerState::PeerState(const PeerState& other218) {
+  revision = other218.revision;
+  age = other218.age;
+  complete = other218.complete;
+  packedItems = other218.packedItems;
+  unpackedBytes = other218.unpackedBytes;
+  peers = other218.peers;
+  era = other218.era;
+  packedRetainedItems = other218.packedRetainedItems;
+  unpackedRetainedBytes = other218.unpackedRetainedBytes;
+  lost = other218.lost;
+  __isset = other218.__isset;
+}
+PeerState::PeerState(PeerState&& other219) noexcept {
+  revision = other219.revision;
+  age = other219.age;
+  complete = other219.complete;
+  packedItems = std::move(other219.packedItems);
+  unpackedBytes = other219.unpackedBytes;
+  peers = std::move(other219.peers);
+  era = other219.era;
+  packedRetainedItems = std::move(other219.packedRetainedItems);
+  unpackedRetainedBytes = other219.unpackedRetainedBytes;
+  lost = std::move(other219.lost);
+  __isset = other219.__isset;
+}
+PeerState& PeerState::operator=(const PeerState& other220) {
+  revision = other220.revision;
+  age = other220.age;
+  complete = other220.complete;
+  packedItems = other220.packedItems;
+  unpackedBytes = other220.unpackedBytes;
+  peers = other220.peers;
+  era = other220.era;
+  packedRetainedItems = other220.packedRetainedItems;
+  unpackedRetainedBytes = other220.unpackedRetainedBytes;
+  lost = other220.lost;
+  __isset = other220.__isset;
+  return *this;
+}
+PeerState& PeerState::operator=(PeerState&& other221) noexcept {
+  revision = other221.revision;
+  age = other221.age;
+  complete = other221.complete;
+  packedItems = std::move(other221.packedItems);
+  unpackedBytes = other221.unpackedBytes;
+  peers = std::move(other221.peers);
+  era = other221.era;
+  packedRetainedItems = std::move(other221.packedRetainedItems);
+  unpackedRetainedBytes = other221.unpackedRetainedBytes;
+  lost = std::move(other221.lost);
+  __isset = other221.__isset;
   return *this;
 }
 
@@ -2360,34 +2406,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ReportedEvidence::ReportedEvidence(const ReportedEvidence& other212) noexcept {
-  upstream = other212.upstream;
-  startedAtMs = other212.startedAtMs;
-  age = other212.age;
-  hasStopped = other212.hasStopped;
-  __isset = other212.__isset;
+ReportedEvidence::ReportedEvidence(const ReportedEvidence& other222) noexcept {
+  upstream = other222.upstream;
+  startedAtMs = other222.startedAtMs;
+  age = other222.age;
+  hasStopped = other222.hasStopped;
+  __isset = other222.__isset;
 }
-ReportedEvidence::ReportedEvidence(ReportedEvidence&& other213) noexcept {
-  upstream = other213.upstream;
-  startedAtMs = other213.startedAtMs;
-  age = other213.age;
-  hasStopped = other213.hasStopped;
-  __isset = other213.__isset;
+ReportedEvidence::ReportedEvidence(ReportedEvidence&& other223) noexcept {
+  upstream = other223.upstream;
+  startedAtMs = other223.startedAtMs;
+  age = other223.age;
+  hasStopped = other223.hasStopped;
+  __isset = other223.__isset;
 }
-ReportedEvidence& ReportedEvidence::operator=(const ReportedEvidence& other214) noexcept {
-  upstream = other214.upstream;
-  startedAtMs = other214.startedAtMs;
-  age = other214.age;
-  hasStopped = other214.hasStopped;
-  __isset = other214.__isset;
+ReportedEvidence& ReportedEvidence::operator=(const ReportedEvidence& other224) noexcept {
+  upstream = other224.upstream;
+  startedAtMs = other224.startedAtMs;
+  age = other224.age;
+  hasStopped = other224.hasStopped;
+  __isset = other224.__isset;
   return *this;
 }
-ReportedEvidence& ReportedEvidence::operator=(ReportedEvidence&& other215) noexcept {
-  upstream = other215.upstream;
-  startedAtMs = other215.startedAtMs;
-  age = other215.age;
-  hasStopped = other215.hasStopped;
-  __isset = other215.__isset;
+ReportedEvidence& ReportedEvidence::operator=(ReportedEvidence&& other225) noexcept {
+  upstream = other225.upstream;
+  startedAtMs = other225.startedAtMs;
+  age = other225.age;
+  hasStopped = other225.hasStopped;
+  __isset = other225.__isset;
   return *this;
 }
 
@@ -2409,22 +2455,22 @@
   swap(a.serviceAddress, b.serviceAddress);
 }
 
-ReportedFlow::ReportedFlow(const ReportedFlow& other216) noexcept {
-  client = other216.client;
-  serviceAddress = other216.serviceAddress;
+ReportedFlow::ReportedFlow(const ReportedFlow& other226) noexcept {
+  client = other226.client;
+  serviceAddress = other226.serviceAddress;
 }
-ReportedFlow::ReportedFlow(ReportedFlow&& other217) noexcept {
-  client = std::move(other217.client);
-  serviceAddress = std::move(other217.serviceAddress);
+ReportedFlow::ReportedFlow(ReportedFlow&& other227) noexcept {
+  client = std::move(other227.client);
+  serviceAddress = std::move(other227.serviceAddress);
 }
-ReportedFlow& ReportedFlow::operator=(const ReportedFlow& other218) noexcept {
-  client = other218.client;
-  serviceAddress = other218.serviceAddress;
+ReportedFlow& ReportedFlow::operator=(const ReportedFlow& other228) noexcept {
+  client = other228.client;
+  serviceAddress = other228.serviceAddress;
   return *this;
 }
-ReportedFlow& ReportedFlow::operator=(ReportedFlow&& other219) noexcept {
-  client = std::move(other219.client);
-  serviceAddress = std::move(other219.serviceAddress);
+ReportedFlow& ReportedFlow::operator=(ReportedFlow&& other229) noexcept {
+  client = std::move(other229.client);
+  serviceAddress = std::move(other229.serviceAddress);
   return *this;
 }
 
@@ -2451,26 +2497,26 @@
   swap(a.sequence, b.sequence);
 }
 
-ReportedPlacement::ReportedPlacement(const ReportedPlacement& other220) noexcept {
-  flow = other220.flow;
-  upstream = other220.upstream;
-  sequence = other220.sequence;
+ReportedPlacement::ReportedPlacement(const ReportedPlacement& other230) noexcept {
+  flow = other230.flow;
+  upstream = other230.upstream;
+  sequence = other230.sequence;
 }
-ReportedPlacement::ReportedPlacement(ReportedPlacement&& other221) noexcept {
-  flow = std::move(other221.flow);
-  upstream = other221.upstream;
-  sequence = other221.sequence;
+ReportedPlacement::ReportedPlacement(ReportedPlacement&& other231) noexcept {
+  flow = std::move(other231.flow);
+  upstream = other231.upstream;
+  sequence = other231.sequence;
 }
-ReportedPlacement& ReportedPlacement::operator=(const ReportedPlacement& other222) noexcept {
-  flow = other222.flow;
-  upstream = other222.upstream;
-  sequence = other222.sequence;
+ReportedPlacement& ReportedPlacement::operator=(const ReportedPlacement& other232) noexcept {
+  flow = other232.flow;
+  upstream = other232.upstream;
+  sequence = other232.sequence;
   return *this;
 }
-ReportedPlacement& ReportedPlacement::operator=(ReportedPlacement&& other223) noexcept {
-  flow = std::move(other223.flow);
-  upstream = other223.upstream;
-  sequence = other223.sequence;
+ReportedPlacement& ReportedPlacement::operator=(ReportedPlacement&& other233) noexcept {
+  flow = std::move(other233.flow);
+  upstream = other233.upstream;
+  sequence = other233.sequence;
   return *this;
 }
 
@@ -2518,46 +2564,46 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerReport::PeerReport(const PeerReport& other242) {
-  version = other242.version;
-  sender = other242.sender;
-  zone = other242.zone;
-  sequence = other242.sequence;
-  evidence = other242.evidence;
-  placements = other242.placements;
-  queries = other242.queries;
-  __isset = other242.__isset;
-}
-PeerReport::PeerReport(PeerReport&& other243) noexcept {
-  version = other243.version;
-  sender = std::move(other243.sender);
-  zone = std::move(other243.zone);
-  sequence = other243.sequence;
-  evidence = std::move(other243.evidence);
-  placements = std::move(other243.placements);
-  queries = std::move(other243.queries);
-  __isset = other243.__isset;
-}
-PeerReport& PeerReport::operator=(const PeerReport& other244) {
-  version = other244.version;
-  sender = other244.sender;
-  zone = other244.zone;
-  sequence = other244.sequence;
-  evidence = other244.evidence;
-  placements = other244.placements;
-  queries = other244.queries;
-  __isset = other244.__isset;
-  return *this;
-}
-PeerReport& PeerReport::operator=(PeerReport&& other245) noexcept {
-  version = other245.version;
-  sender = std::move(other245.sender);
-  zone = std::move(other245.zone);
-  sequence = other245.sequence;
-  evidence = std::move(other245.evidence);
-  placements = std::move(other245.placements);
-  queries = std::move(other245.queries);
-  __isset = other245.__isset;
+PeerReport::PeerReport(const PeerReport& other252) {
+  version = other252.version;
+  sender = other252.sender;
+  zone = other252.zone;
+  sequence = other252.sequence;
+  evidence = other252.evidence;
+  placements = other252.placements;
+  queries = other252.queries;
+  __isset = other252.__isset;
+}
+PeerReport::PeerReport(PeerReport&& other253) noexcept {
+  version = other253.version;
+  sender = std::move(other253.sender);
+  zone = std::move(other253.zone);
+  sequence = other253.sequence;
+  evidence = std::move(other253.evidence);
+  placements = std::move(other253.placements);
+  queries = std::move(other253.queries);
+  __isset = other253.__isset;
+}
+PeerReport& PeerReport::operator=(const PeerReport& other254) {
+  version = other254.version;
+  sender = other254.sender;
+  zone = other254.zone;
+  sequence = other254.sequence;
+  evidence = other254.evidence;
+  placements = other254.placements;
+  queries = other254.queries;
+  __isset = other254.__isset;
+  return *this;
+}
+PeerReport& PeerReport::operator=(PeerReport&& other255) noexcept {
+  version = other255.version;
+  sender = std::move(other255.sender);
+  zone = std::move(other255.zone);
+  sequence = other255.sequence;
+  evidence = std::move(other255.evidence);
+  placements = std::move(other255.placements);
+  queries = std::move(other255.queries);
+  __isset = other255.__isset;
   return *this;
 }
 }} // namespace
--- a/src/gen/protocol_types.h
+++ b/src/gen/protocol_types.h
@@ -207,6 +207,8 @@
 
 class PeerItems;
 
+class LostConfiguration;
+
 class PeerState;
 
 class ReportedEvidence;
@@ -2485,8 +2487,54 @@
 
 std::ostream& operator<<(std::ostream& out, const PeerItems& obj);
 
+
+class LostConfiguration {
+ public:
+
+  LostConfiguration(const LostConfiguration&) noexcept;
+  LostConfiguration(LostConfiguration&&) noexcept;
+  LostConfiguration& operator=(const LostConfiguration&) noexcept;
+  LostConfiguration& operator=(LostConfiguration&&) noexcept;
+  LostConfiguration() noexcept
+                    : version(0),
+                      contentHash(0) {
+  }
+
+  virtual ~LostConfiguration() noexcept;
+  int64_t version;
+  int64_t contentHash;
+
+  void __set_version(const int64_t val);
+
+  void __set_contentHash(const int64_t val);
+
+  bool operator == (const LostConfiguration & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(contentHash == rhs.contentHash))
+      return false;
+    return true;
+  }
+  bool operator != (const LostConfiguration &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LostConfiguration & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+};
+
+void swap(LostConfiguration &a, LostConfiguration &b);
+
+std::ostream& operator<<(std::ostream& out, const LostConfiguration& obj);
+
 typedef struct _PeerState__isset {
-  _PeerState__isset() : revision(false), age(false), complete(false), packedItems(false), unpackedBytes(false), peers(false), era(false), packedRetainedItems(false), unpackedRetainedBytes(false) {}
+  _PeerState__isset() : revision(false), age(false), complete(false), packedItems(false), unpackedBytes(false), peers(false), era(false), packedRetainedItems(false), unpackedRetainedBytes(false), lost(false) {}
   bool revision :1;
   bool age :1;
   bool complete :1;
@@ -2496,6 +2544,7 @@
   bool era :1;
   bool packedRetainedItems :1;
   bool unpackedRetainedBytes :1;
+  bool lost :1;
 } _PeerState__isset;
 
 class PeerState {
@@ -2526,6 +2575,7 @@
   int64_t era;
   std::string packedRetainedItems;
   int32_t unpackedRetainedBytes;
+  std::vector<LostConfiguration>  lost;
 
   _PeerState__isset __isset;
 
@@ -2547,6 +2597,8 @@
 
   void __set_unpackedRetainedBytes(const int32_t val);
 
+  void __set_lost(const std::vector<LostConfiguration> & val);
+
   bool operator == (const PeerState & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -2567,6 +2619,8 @@
       return false;
     if (!(unpackedRetainedBytes == rhs.unpackedRetainedBytes))
       return false;
+    if (!(lost == rhs.lost))
+      return false;
     return true;
   }
   bool operator != (const PeerState &rhs) const {
--- a/src/gen/protocol_types.tcc
+++ b/src/gen/protocol_types.tcc
@@ -3788,6 +3788,81 @@
   return xfer;
 }
 
+template <class Protocol_>
+uint32_t LostConfiguration::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_version = false;
+  bool isset_contentHash = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHash);
+          isset_contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_contentHash)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t LostConfiguration::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LostConfiguration");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 template <class Protocol_>
 uint32_t PeerState::read(Protocol_* iprot) {
 
@@ -3854,14 +3929,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->peers.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->peers.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
             {
-              xfer += this->peers[_i206].read(iprot);
+              xfer += this->peers[_i210].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3894,6 +3969,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lost.clear();
+            uint32_t _size211;
+            ::apache::thrift::protocol::TType _etype214;
+            xfer += iprot->readListBegin(_etype214, _size211);
+            this->lost.resize(_size211);
+            uint32_t _i215;
+            for (_i215 = 0; _i215 < _size211; ++_i215)
+            {
+              xfer += this->lost[_i215].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.lost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3935,10 +4030,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
-    std::vector<PeerEntry> ::const_iterator _iter207;
-    for (_iter207 = this->peers.begin(); _iter207 != this->peers.end(); ++_iter207)
+    std::vector<PeerEntry> ::const_iterator _iter216;
+    for (_iter216 = this->peers.begin(); _iter216 != this->peers.end(); ++_iter216)
     {
-      xfer += (*_iter207).write(oprot);
+      xfer += (*_iter216).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3956,6 +4051,18 @@
   xfer += oprot->writeI32(this->unpackedRetainedBytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lost.size()));
+    std::vector<LostConfiguration> ::const_iterator _iter217;
+    for (_iter217 = this->lost.begin(); _iter217 != this->lost.end(); ++_iter217)
+    {
+      xfer += (*_iter217).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4287,14 +4394,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size224;
-            ::apache::thrift::protocol::TType _etype227;
-            xfer += iprot->readListBegin(_etype227, _size224);
-            this->evidence.resize(_size224);
-            uint32_t _i228;
-            for (_i228 = 0; _i228 < _size224; ++_i228)
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->evidence.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
             {
-              xfer += this->evidence[_i228].read(iprot);
+              xfer += this->evidence[_i238].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4307,14 +4414,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->placements.clear();
-            uint32_t _size229;
-            ::apache::thrift::protocol::TType _etype232;
-            xfer += iprot->readListBegin(_etype232, _size229);
-            this->placements.resize(_size229);
-            uint32_t _i233;
-            for (_i233 = 0; _i233 < _size229; ++_i233)
+            uint32_t _size239;
+            ::apache::thrift::protocol::TType _etype242;
+            xfer += iprot->readListBegin(_etype242, _size239);
+            this->placements.resize(_size239);
+            uint32_t _i243;
+            for (_i243 = 0; _i243 < _size239; ++_i243)
             {
-              xfer += this->placements[_i233].read(iprot);
+              xfer += this->placements[_i243].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4327,14 +4434,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->queries.clear();
-            uint32_t _size234;
-            ::apache::thrift::protocol::TType _etype237;
-            xfer += iprot->readListBegin(_etype237, _size234);
-            this->queries.resize(_size234);
-            uint32_t _i238;
-            for (_i238 = 0; _i238 < _size234; ++_i238)
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _etype247;
+            xfer += iprot->readListBegin(_etype247, _size244);
+            this->queries.resize(_size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
             {
-              xfer += this->queries[_i238].read(iprot);
+              xfer += this->queries[_i248].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4388,10 +4495,10 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<ReportedEvidence> ::const_iterator _iter239;
-    for (_iter239 = this->evidence.begin(); _iter239 != this->evidence.end(); ++_iter239)
+    std::vector<ReportedEvidence> ::const_iterator _iter249;
+    for (_iter249 = this->evidence.begin(); _iter249 != this->evidence.end(); ++_iter249)
     {
-      xfer += (*_iter239).write(oprot);
+      xfer += (*_iter249).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4400,10 +4507,10 @@
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<ReportedPlacement> ::const_iterator _iter240;
-    for (_iter240 = this->placements.begin(); _iter240 != this->placements.end(); ++_iter240)
+    std::vector<ReportedPlacement> ::const_iterator _iter250;
+    for (_iter250 = this->placements.begin(); _iter250 != this->placements.end(); ++_iter250)
     {
-      xfer += (*_iter240).write(oprot);
+      xfer += (*_iter250).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4412,10 +4519,10 @@
   xfer += oprot->writeFieldBegin("queries", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queries.size()));
-    std::vector<ReportedFlow> ::const_iterator _iter241;
-    for (_iter241 = this->queries.begin(); _iter241 != this->queries.end(); ++_iter241)
+    std::vector<ReportedFlow> ::const_iterator _iter251;
+    for (_iter251 = this->queries.begin(); _iter251 != this->queries.end(); ++_iter251)
     {
-      xfer += (*_iter241).write(oprot);
+      xfer += (*_iter251).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -76,6 +76,18 @@
       static_cast<uint32_t>(Entry.linkMbps)};
 }
 
+wire::LostConfiguration toWire(const LostConfiguration &Known) {
+  wire::LostConfiguration Out;
+  Out.version = static_cast<int64_t>(Known.Version.value());
+  Out.contentHash = static_cast<int64_t>(Known.ContentHash);
+  return Out;
+}
+
+LostConfiguration fromWire(const wire::LostConfiguration &Known) {
+  return {ConfigVersion(static_cast<uint64_t>(Known.version)),
+          static_cast<uint64_t>(Known.contentHash)};
+}
+
 template <typename Struct> std::string write(const Struct &Value) {
   const auto Buffer = std::make_shared<TMemoryBuffer>();
   CompactProtocol Protocol(Buffer);
@@ -145,13 +157,17 @@
 } // namespace
 
 std::string encodePeerRequest(const PeerRequest &Request) {
-  return std::string(PeerPath) + "?era=" + std::to_string(Request.After.Era) +
-         "&after=" + std::to_string(Request.After.Revision) +
-         "&configuration=" + std::to_string(Request.Configuration.value()) +
-         "&wait_ms=" + std::to_string(millisecondsOf(Request.Wait)) +
-         "&from=" + encodePath(toString(Request.Sender.Address)) +
-         "&zone=" + encodePath(Request.Sender.Zone) +
-         "&link_mbps=" + std::to_string(Request.Sender.LinkMbps);
+  std::string Out =
+      std::string(PeerPath) + "?era=" + std::to_string(Request.After.Era) +
+      "&after=" + std::to_string(Request.After.Revision) +
+      "&configuration=" + std::to_string(Request.Configuration.value()) +
+      "&wait_ms=" + std::to_string(millisecondsOf(Request.Wait)) +
+      "&from=" + encodePath(toString(Request.Sender.Address)) +
+      "&zone=" + encodePath(Request.Sender.Zone) +
+      "&link_mbps=" + std::to_string(Request.Sender.LinkMbps);
+  if (Request.UndecidedVersion)
+    Out += "&undecided=" + std::to_string(Request.UndecidedVersion->value());
+  return Out;
 }
 
 std::optional<PeerRequest>
@@ -171,6 +187,9 @@
       !parseEndpoint(Address->second, Out.Sender.Address))
     return std::nullopt;
   Out.Configuration = ConfigVersion(Configuration);
+  uint64_t Undecided = 0;
+  if (readNumber(Query, "undecided", Undecided))
+    Out.UndecidedVersion = ConfigVersion(Undecided);
   Out.Wait = std::chrono::milliseconds(WaitMs);
   Out.Sender.Zone = Zone->second;
   Out.Sender.LinkMbps = static_cast<uint32_t>(LinkMbps);
@@ -208,6 +227,8 @@
   PackedItems Retained = packItems(Answer.Changes.Retained);
   State.packedRetainedItems = std::move(Retained.Bytes);
   State.unpackedRetainedBytes = static_cast<int32_t>(Retained.UnpackedBytes);
+  for (const LostConfiguration &Known : Answer.Changes.Lost)
+    State.lost.push_back(toWire(Known));
   for (const PeerInfo &Peer : Answer.Peers)
     State.peers.push_back(toWire(Peer));
   return write(State);
@@ -226,6 +247,8 @@
                           static_cast<uint64_t>(State.revision)};
   Out.Changes.Age = Duration(State.age);
   Out.Changes.Complete = State.complete;
+  for (const wire::LostConfiguration &Known : State.lost)
+    Out.Changes.Lost.push_back(fromWire(Known));
   for (wire::PeerEntry &Entry : State.peers)
     if (isAgeValid(Entry.age))
       Out.Peers.push_back(fromWire(Entry));
--- a/src/peer_codec.h
+++ b/src/peer_codec.h
@@ -20,6 +20,9 @@
   Duration Wait{};
   /// The instance that sends the request.
   PeerInfo Sender;
+  /// A version of which the sender does not know whether the restored store
+  /// lacked it.
+  std::optional<ConfigVersion> UndecidedVersion{};
 };
 
 /// Compressed items of the store. They are the same for all peers with the same
--- a/src/peer_exchange.cpp
+++ b/src/peer_exchange.cpp
@@ -96,6 +96,10 @@
   Answer.Changes.Complete = Changes.Complete;
   if (Request.Configuration < StateHooks.Configuration())
     Answer.Changes.Retained = Mirror.retained();
+  // An instance of another era may count what was written since as lost.
+  if (Request.UndecidedVersion && Request.After.Era == Mirror.position().Era)
+    Answer.Changes.Lost =
+        StateHooks.LostVersions.Find(*Request.UndecidedVersion);
   Answer.Peers = Peers.recentPeers(Request.Sender.Zone, MaxPeerEntries);
   Answer.Peers.push_back(Self);
   Respond({200, encodePeerAnswer(Answer, Changes.Items),
@@ -118,8 +122,8 @@
                        Timeouts Limits, AnswerHook OnAnswer) {
   HttpCall Call;
   Call.To = Peer;
-  Call.Target =
-      encodePeerRequest({After, StateHooks.Configuration(), Wait, Self});
+  Call.Target = encodePeerRequest({After, StateHooks.Configuration(), Wait,
+                                   Self, StateHooks.LostVersions.Undecided()});
   Call.IdleTimeout = Limits.Idle;
   Call.Timeout = Limits.Total;
   Http.call(Call, [this, Peer,
@@ -140,6 +144,7 @@
   }
   for (const PeerInfo &Entry : Answer->Peers)
     Peers.update(Entry);
+  StateHooks.LostVersions.Record(Answer->Changes.Lost);
   Answer->Changes.Age += TimeSource.now() - Result.ArrivedAt;
   OnAnswer(Answer->Changes);
 }
--- a/src/peer_exchange.h
+++ b/src/peer_exchange.h
@@ -14,6 +14,21 @@
 
 namespace indigopoint {
 
+/// How instances tell each other what they knew of a configuration version
+/// before the store was restored.
+struct LostVersionHooks {
+  /// Returns the version that other instances are asked for, if any.
+  std::function<std::optional<ConfigVersion>()> Undecided = [] {
+    return std::nullopt;
+  };
+  /// Returns what this instance knew.
+  std::function<std::vector<LostConfiguration>(ConfigVersion)> Find =
+      [](ConfigVersion) { return std::vector<LostConfiguration>(); };
+  /// Called with what another instance knew.
+  std::function<void(const std::vector<LostConfiguration> &)> Record =
+      [](const std::vector<LostConfiguration> &) {};
+};
+
 /// Exchanges changes of the store and information about instances with peers
 /// over HTTP.
 class PeerExchange {
@@ -25,6 +40,7 @@
     std::function<Duration()> DataAge;
     /// Returns the version of the configuration in force.
     std::function<ConfigVersion()> Configuration;
+    LostVersionHooks LostVersions;
   };
 
   PeerExchange(EventLoop &Loop, HttpClient &Http, PeerInfo Self,
--- a/src/protocol.thrift
+++ b/src/protocol.thrift
@@ -370,6 +370,14 @@
   1: list<PeerItem> items
 }
 
+/* The content that a configuration version had before a restoration of the
+   store. */
+struct LostConfiguration {
+  1: required i64 version
+  /* Hash of the item's value. */
+  2: required i64 contentHash
+}
+
 struct PeerState {
   1: i64 revision
   2: i64 age
@@ -385,6 +393,8 @@
      the form of packedItems. */
   8: binary packedRetainedItems
   9: i32 unpackedRetainedBytes
+  /* What is known of the version that the sender of the request asked for. */
+  10: list<LostConfiguration> lost
 }
 
 /* Between instances of a zone, on the report address: one datagram without a
--- a/src/restoration_review.cpp
+++ b/src/restoration_review.cpp
@@ -1,5 +1,6 @@
 #include "restoration_review.h"
 
+#include <array>
 #include <utility>
 
 #include <xxhash.h>
@@ -12,26 +13,39 @@
 // and an operator writes a lost evacuation again.
 constexpr Duration ReRegistrationTime = std::chrono::milliseconds(2500);
 
-// Operators may write all lost versions again, one after the other. A lower
-// version than the one in force counts only if no other one follows within this
-// time; otherwise instances would go back to it for a moment.
-constexpr Duration RewriteTime = std::chrono::seconds(1);
+// Operators may write a version several times in turn until it is right.
+constexpr Duration ChangedVersionDelay = std::chrono::seconds(1);
+
+// Operators write all lost versions again, one after the other. Since a copy is
+// some seconds old, the last one follows within this time. A version that none
+// of the instances knows counts only if no other one follows; otherwise
+// instances would go back to it for a moment.
+constexpr Duration UnknownVersionDelay = std::chrono::seconds(60);
 
 // A copy is some seconds old, so it lacks few versions.
 constexpr size_t MaxKnownConfigurations = 256;
 
-uint64_t hashOf(const std::string &Content) {
-  return XXH3_64bits(Content.data(), Content.size());
-}
+constexpr std::array<std::string_view, 3> RewriteKindNames = {"unknown", "lost",
+                                                              "changed"};
 
 } // namespace
 
+LostConfiguration describe(ConfigVersion Version, const std::string &Content) {
+  return {Version, XXH3_64bits(Content.data(), Content.size())};
+}
+
+std::string_view nameOf(RestorationReview::RewriteKind Value) {
+  return RewriteKindNames.at(static_cast<size_t>(Value));
+}
+
 void RestorationReview::begin(TimePoint Now) {
   HasBegun = true;
   MissingUntil = Now + ReRegistrationTime;
   HoldUntil = Now + RegistrationLifetime;
   RestoredConfigurationRevision = 0;
-  DeferredConfiguration.reset();
+  Deferred.reset();
+  for (const LostConfiguration &Known : std::exchange(RecentConfigurations, {}))
+    insert(LostConfigurations, Known);
 }
 
 RestorationReview::Verdict
@@ -100,15 +114,46 @@
 
 void RestorationReview::recordConfiguration(ConfigVersion Version,
                                             const std::string &Content) {
-  KnownConfigurations[Version] = hashOf(Content);
-  if (KnownConfigurations.size() > MaxKnownConfigurations)
-    KnownConfigurations.erase(KnownConfigurations.begin());
+  insert(RecentConfigurations, describe(Version, Content));
+}
+
+std::optional<RestorationReview::RewriteKind>
+RestorationReview::recordLostConfigurations(
+    const std::vector<LostConfiguration> &Known) {
+  for (const LostConfiguration &Added : Known)
+    insert(LostConfigurations, Added);
+  if (!Deferred)
+    return std::nullopt;
+  const RewriteKind Kind = kindOf(Deferred->Content);
+  Deferred->Kind = Kind;
+  if (Kind == RewriteKind::Lost)
+    Deferred.reset();
+  return Kind;
+}
+
+std::vector<LostConfiguration>
+RestorationReview::lostConfigurations(ConfigVersion Version) const {
+  std::vector<LostConfiguration> Out;
+  for (auto It = LostConfigurations.lower_bound({Version, 0});
+       It != LostConfigurations.end() && It->Version == Version; ++It)
+    Out.push_back(*It);
+  return Out;
 }
 
-bool RestorationReview::isKnownConfiguration(ConfigVersion Version,
-                                             const std::string &Content) const {
-  const auto It = KnownConfigurations.find(Version);
-  return It != KnownConfigurations.end() && It->second == hashOf(Content);
+void RestorationReview::insert(ConfigurationSet &Configurations,
+                               const LostConfiguration &Added) {
+  Configurations.insert(Added);
+  if (Configurations.size() > MaxKnownConfigurations)
+    Configurations.erase(Configurations.begin());
+}
+
+RestorationReview::RewriteKind
+RestorationReview::kindOf(const LostConfiguration &Written) const {
+  if (LostConfigurations.count(Written) + RecentConfigurations.count(Written) >
+      0)
+    return RewriteKind::Lost;
+  return lostConfigurations(Written.Version).empty() ? RewriteKind::Unknown
+                                                     : RewriteKind::Changed;
 }
 
 void RestorationReview::recordRestoredConfiguration(uint64_t Revision) {
@@ -120,16 +165,43 @@
 }
 
 void RestorationReview::deferConfiguration(RouteConfiguration Configuration,
+                                           const LostConfiguration &Written,
                                            TimePoint Now) {
-  DeferredConfiguration = std::move(Configuration);
-  DeferredUntil = Now + RewriteTime;
+  // A copy of the same write does not prolong the wait.
+  if (Deferred && Deferred->Content == Written)
+    return;
+  Deferred = {std::move(Configuration), Written, Now, kindOf(Written)};
+}
+
+std::optional<ConfigVersion> RestorationReview::undecidedVersion() const {
+  return Deferred && Deferred->Kind == RewriteKind::Unknown
+             ? std::optional(Deferred->Content.Version)
+             : std::nullopt;
+}
+
+TimePoint RestorationReview::dueTime(const Deferral &Of) {
+  return Of.Since + (Of.Kind == RewriteKind::Changed ? ChangedVersionDelay
+                                                     : UnknownVersionDelay);
 }
 
 std::optional<RouteConfiguration>
-RestorationReview::takeDeferredConfiguration(TimePoint Now) {
-  if (!DeferredConfiguration || Now < DeferredUntil)
+RestorationReview::takeDeferredConfiguration(TimePoint LastSync) {
+  if (!Deferred || LastSync < dueTime(*Deferred))
     return std::nullopt;
-  return std::exchange(DeferredConfiguration, std::nullopt);
+  return std::exchange(Deferred, std::nullopt)->Configuration;
+}
+
+bool RestorationReview::takeConfirmationRequest(TimePoint Now,
+                                                TimePoint LastSync) {
+  if (!Deferred || Now < dueTime(*Deferred) || LastSync >= dueTime(*Deferred))
+    return false;
+  return !std::exchange(Deferred->IsConfirmationRequested, true);
+}
+
+void RestorationReview::discardDeferredConfiguration() {
+  if (Deferred)
+    insert(RecentConfigurations, Deferred->Content);
+  Deferred.reset();
 }
 
 } // namespace indigopoint
--- a/src/restoration_review.h
+++ b/src/restoration_review.h
@@ -7,10 +7,15 @@
 #include <vector>
 
 #include "route_table.h"
+#include "store_sync.h"
 #include "upstream_registry.h"
 
 namespace indigopoint {
 
+/// What other instances are told of a configuration. \p Content is the item's
+/// value.
+LostConfiguration describe(ConfigVersion Version, const std::string &Content);
+
 /// Decides what the items of a restored store may change. The store comes back
 /// from a copy some seconds old, so an item may be older than what was known
 /// before, and an item that is missing may be written again within seconds.
@@ -78,10 +83,28 @@
   /// it.
   void recordConfiguration(ConfigVersion Version, const std::string &Content);
 
-  /// Whether this instance knows the version with the same content. The
-  /// operator then writes a lost version again, and not a new one.
-  bool isKnownConfiguration(ConfigVersion Version,
-                            const std::string &Content) const;
+  /// What this instance knew of a version before the restoration. It has
+  /// several entries if the version was used again.
+  std::vector<LostConfiguration>
+  lostConfigurations(ConfigVersion Version) const;
+
+  /// What is known of a version that is lower than the one in force and was
+  /// written after the restoration.
+  enum class RewriteKind : uint8_t {
+    /// Not known. It may be lost, since an instance sees only some versions.
+    Unknown,
+    /// It was in force before: the operator writes a lost version again.
+    Lost,
+    /// It had other content before: a decision of the operator.
+    Changed
+  };
+  RewriteKind kindOf(const LostConfiguration &Written) const;
+
+  /// Records what was known before the restoration, also to other instances.
+  /// Returns what that says of the deferred configuration; nothing if there is
+  /// none.
+  std::optional<RewriteKind>
+  recordLostConfigurations(const std::vector<LostConfiguration> &Known);
 
   /// Records the revision of the configuration in the restored store.
   void recordRestoredConfiguration(uint64_t Revision);
@@ -91,12 +114,25 @@
 
   /// Keeps a configuration with a lower version than the one in force, which
   /// was written after the restoration.
-  void deferConfiguration(RouteConfiguration Configuration, TimePoint Now);
+  void deferConfiguration(RouteConfiguration Configuration,
+                          const LostConfiguration &Written, TimePoint Now);
+
+  /// The version of the deferred configuration; nothing if there is none, or if
+  /// it is known not to be a lost one.
+  std::optional<ConfigVersion> undecidedVersion() const;
+
+  /// Returns and forgets the deferred configuration when it is due, as far as
+  /// the store had confirmed at \p LastSync that no other one was written.
+  std::optional<RouteConfiguration>
+  takeDeferredConfiguration(TimePoint LastSync);
 
-  /// Returns and forgets the deferred configuration when it is due. Nothing if
-  /// another one was written since.
-  std::optional<RouteConfiguration> takeDeferredConfiguration(TimePoint Now);
-  void discardDeferredConfiguration() { DeferredConfiguration.reset(); }
+  /// Returns true once when the deferred configuration is due but the store has
+  /// not confirmed it since.
+  bool takeConfirmationRequest(TimePoint Now, TimePoint LastSync);
+
+  /// Forgets the deferred configuration, since the operator went on to write
+  /// lost versions: it was one of them.
+  void discardDeferredConfiguration();
 
 private:
   Duration RegistrationLifetime;
@@ -107,10 +143,27 @@
   std::set<UpstreamId> Missing;
   std::set<std::string> MissingEvacuations;
   uint64_t RestoredConfigurationRevision = 0;
-  /// Hashes of the content of the latest versions.
-  std::map<ConfigVersion, uint64_t> KnownConfigurations;
-  std::optional<RouteConfiguration> DeferredConfiguration;
-  TimePoint DeferredUntil{};
+  /// Ordered by version.
+  using ConfigurationSet = std::set<LostConfiguration>;
+
+  struct Deferral {
+    RouteConfiguration Configuration;
+    LostConfiguration Content;
+    TimePoint Since{};
+    RewriteKind Kind = RewriteKind::Unknown;
+    bool IsConfirmationRequested = false;
+  };
+
+  static void insert(ConfigurationSet &Configurations,
+                     const LostConfiguration &Added);
+  static TimePoint dueTime(const Deferral &Of);
+
+  /// What was in force before the last restoration, and since.
+  ConfigurationSet LostConfigurations;
+  ConfigurationSet RecentConfigurations;
+  std::optional<Deferral> Deferred;
 };
 
+std::string_view nameOf(RestorationReview::RewriteKind Value);
+
 } // namespace indigopoint
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -4,7 +4,6 @@
 #include <cmath>
 
 #include "event_loop.h"
-#include "peer_exchange.h"
 #include "sync_planner.h"
 
 namespace indigopoint {
@@ -96,7 +95,8 @@
       Mirror(this->StateHooks.Supersedes),
       Exchange(Loop, Http, ownPeerInfo(Settings), Peers, Mirror, TimeSource,
                {[this] { return dataAge(); },
-                [this] { return this->StateHooks.Configuration(); }}) {}
+                [this] { return this->StateHooks.Configuration(); },
+                this->StateHooks.LostVersions}) {}
 
 void StoreFollower::Impl::startCallIfDue() {
   TimeSource.refresh();
@@ -176,8 +176,15 @@
 }
 
 void StoreFollower::Impl::applyUpdate(const StoreSync::Update &Update) {
+  const auto UndecidedBefore = StateHooks.LostVersions.Undecided();
   Mirror.apply(Update, Sync.position());
   StateHooks.OnUpdate(Update);
+  const auto Undecided = StateHooks.LostVersions.Undecided();
+  if (!Undecided || Undecided == UndecidedBefore)
+    return;
+  // The others are asked at once.
+  ContactPeriod = FirstContactPeriod;
+  scheduleContact();
 }
 
 void StoreFollower::Impl::applyRetained(const StoreResult &Result) {
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -7,6 +7,7 @@
 #include "event_log.h"
 #include "forwarder_settings.h"
 #include "http_client.h"
+#include "peer_exchange.h"
 #include "random_source.h"
 #include "steady_clock.h"
 #include "store_mirror.h"
@@ -34,6 +35,7 @@
     StoreMirror::SupersedesHook Supersedes;
     /// Returns how late timers of the process fired lately.
     std::function<Duration()> Lateness = [] { return Duration(); };
+    LostVersionHooks LostVersions{};
   };
 
   StoreFollower(EventLoop &Loop, const ForwarderSettings &Settings,
--- a/src/store_mirror.cpp
+++ b/src/store_mirror.cpp
@@ -27,7 +27,9 @@
   if (Update.ContentKind != StoreSync::Update::Content::Changes)
     return;
   for (const StoreItem &Item : Update.Items)
-    RetainedItems.erase(Item.Key);
+    if (const auto It = RetainedItems.find(Item.Key);
+        It != RetainedItems.end() && !isSuperseding(It->second))
+      RetainedItems.erase(It);
   Position = std::max(Position, NewPosition);
   expireDeletions();
 }
@@ -37,9 +39,12 @@
 void StoreMirror::finishSnapshot(bool IsFromRestoredStore,
                                  StorePosition NewPosition) {
   ItemMap KnownItems = std::exchange(Items, std::exchange(SnapshotItems, {}));
-  if (IsFromRestoredStore && Supersedes) {
-    KnownItems.merge(RetainedItems);
-    retain(KnownItems);
+  if (IsFromRestoredStore) {
+    // An item that was retained already is the one in force.
+    RetainedItems.merge(KnownItems);
+    std::erase_if(RetainedItems, [this](const auto &Entry) {
+      return Entry.second.Deleted || !isSuperseding(Entry.second);
+    });
   }
   // The snapshot may contain fewer changes than this instance has already seen.
   if (NewPosition > Position)
@@ -48,15 +53,8 @@
   Loaded = true;
 }
 
-void StoreMirror::retain(const ItemMap &KnownItems) {
-  RetainedItems.clear();
-  for (const auto &[Key, Known] : KnownItems) {
-    const auto Restored = Items.find(Key);
-    if (!Known.Deleted &&
-        Supersedes(Known,
-                   Restored == Items.end() ? nullptr : &Restored->second))
-      RetainedItems.emplace(Key, Known);
-  }
+bool StoreMirror::isSuperseding(const StoreItem &Retained) const {
+  return Supersedes(Retained, find(Retained.Key));
 }
 
 void StoreMirror::expireDeletions() {
@@ -94,7 +92,8 @@
 std::vector<StoreItem> StoreMirror::retained() const {
   std::vector<StoreItem> Out;
   for (const auto &[Key, Item] : RetainedItems)
-    Out.push_back(Item);
+    if (isSuperseding(Item))
+      Out.push_back(Item);
   return Out;
 }
 
--- a/src/store_mirror.h
+++ b/src/store_mirror.h
@@ -18,7 +18,10 @@
   using SupersedesHook =
       std::function<bool(const StoreItem &Known, const StoreItem *Restored)>;
 
-  explicit StoreMirror(SupersedesHook Supersedes = {})
+  explicit StoreMirror(SupersedesHook Supersedes =
+                           [](const StoreItem &, const StoreItem *) {
+                             return false;
+                           })
       : Supersedes(std::move(Supersedes)) {}
 
   /// Applies an update that ends at \p Position. The items and the position do
@@ -49,8 +52,8 @@
   using ItemMap = std::map<std::string, StoreItem>;
 
   void finishSnapshot(bool IsFromRestoredStore, StorePosition NewPosition);
-  /// Keeps the items of \p KnownItems that the restored items do not replace.
-  void retain(const ItemMap &KnownItems);
+  /// Whether a retained item stays in force beside the store's one.
+  bool isSuperseding(const StoreItem &Retained) const;
   void expireDeletions();
 
   SupersedesHook Supersedes;
--- a/src/store_sync.h
+++ b/src/store_sync.h
@@ -31,6 +31,13 @@
   bool Deleted = false;
 };
 
+/// The content that a configuration version had before the store was restored.
+struct LostConfiguration {
+  ConfigVersion Version;
+  uint64_t ContentHash = 0;
+  auto operator<=>(const LostConfiguration &) const = default;
+};
+
 /// The target of the next call for items of the store.
 struct SyncSource {
   /// Another instance; the store itself if not set.
@@ -92,6 +99,8 @@
   /// Items that a peer keeps in force although the restored store has older
   /// ones.
   std::vector<StoreItem> Retained;
+  /// What a peer knows of the version that this instance asked for.
+  std::vector<LostConfiguration> Lost;
   /// Why an answer could not be used; empty if that is clear from the status.
   std::string Problem;
   /// Bytes that arrived from the store, also if the call failed.
--- a/src/store_update_applier.cpp
+++ b/src/store_update_applier.cpp
@@ -56,7 +56,7 @@
     put(Held.Registration, Held.CreatedRevision, Held.CreatedRevision);
   for (const std::string &Zone : Review.takeMissingEvacuations(LastSync))
     endEvacuation(Zone, 0);
-  if (const auto Config = Review.takeDeferredConfiguration(Now))
+  if (const auto Config = Review.takeDeferredConfiguration(LastSync))
     replaceConfiguration(*Config, 0);
   registerPending();
 }
@@ -65,7 +65,7 @@
                                     const StoreItem *Restored) const {
   const DecodedItem KnownContent = Decode(Known);
   const auto *KnownConfig = std::get_if<RouteConfiguration>(&KnownContent);
-  if (KnownConfig == nullptr)
+  if (KnownConfig == nullptr || KnownConfig->Version != Routes.version())
     return false;
   if (Restored == nullptr)
     return true;
@@ -199,16 +199,14 @@
   const bool IsRewritten = Routes.isLoaded() &&
                            ContentKind != Content::Retained &&
                            Review.isWrittenSince(Item.Revision);
-  if (IsRewritten)
-    Review.discardDeferredConfiguration();
   if (IsRewritten && Config.Version < Routes.version()) {
-    // The operator writes the lost versions again, of which this is an earlier
-    // one. The version in force follows after any time.
-    if (!Review.isKnownConfiguration(Config.Version, Item.Value))
-      Review.deferConfiguration(Config, TimeSource.now());
+    applyLowerVersion(Item, Config);
     return;
   }
-  if (Config.Version >= Routes.version())
+  if (IsRewritten)
+    Review.discardDeferredConfiguration();
+  // The operator may write the version of the copy again as well.
+  if (Config.Version >= Routes.version() || IsFromRestoredStore)
     Review.recordConfiguration(Config.Version, Item.Value);
   const bool IsVersionReused =
       Config.Version == Routes.version() && Routes.isLoaded() &&
@@ -222,6 +220,39 @@
   logConfiguration(Config, Change, PreviousVersion, Item.Revision);
 }
 
+// The operator writes the lost versions again, one after the other; the version
+// in force follows after any time. An instance that does not know the version
+// asks the others.
+void StoreUpdateApplier::applyLowerVersion(const StoreItem &Item,
+                                           const RouteConfiguration &Config) {
+  const LostConfiguration Written = describe(Config.Version, Item.Value);
+  const RestorationReview::RewriteKind Kind = Review.kindOf(Written);
+  if (Kind == RestorationReview::RewriteKind::Lost)
+    Review.discardDeferredConfiguration();
+  else
+    Review.deferConfiguration(Config, Written, TimeSource.now());
+  logDeferral(Config.Version, Kind, "own");
+}
+
+void StoreUpdateApplier::recordLostConfigurations(
+    const std::vector<LostConfiguration> &Known) {
+  const std::optional<ConfigVersion> Undecided = undecidedVersion();
+  const auto Kind = Review.recordLostConfigurations(Known);
+  if (Undecided && Kind && *Kind != RestorationReview::RewriteKind::Unknown)
+    logDeferral(*Undecided, *Kind, "peer");
+}
+
+void StoreUpdateApplier::logDeferral(ConfigVersion Version,
+                                     RestorationReview::RewriteKind Kind,
+                                     std::string_view Source) {
+  Log.write(LogEvent::ConfigurationDeferred, [&] {
+    return EventLog::Fields{{"version", Version.value()},
+                            {"versionInForce", Routes.version().value()},
+                            {"kind", nameOf(Kind)},
+                            {"source", Source}};
+  });
+}
+
 void StoreUpdateApplier::replaceConfiguration(const RouteConfiguration &Config,
                                               uint64_t Revision) {
   const ConfigVersion PreviousVersion = Routes.version();
--- a/src/store_update_applier.h
+++ b/src/store_update_applier.h
@@ -62,6 +62,25 @@
   /// Called several times a second, after UpstreamRegistry::recordStoreSync.
   void applyDue();
 
+  /// Whether the store has to confirm now that no configuration was written
+  /// since the one that applyDue would apply. True once for each of them.
+  bool takeConfirmationRequest() {
+    return Review.takeConfirmationRequest(TimeSource.now(),
+                                          Upstreams.lastStoreSync());
+  }
+
+  /// The lower version of which this instance does not know whether it was lost
+  /// with the store's latest changes; other instances may know it.
+  std::optional<ConfigVersion> undecidedVersion() const {
+    return Review.undecidedVersion();
+  }
+  std::vector<LostConfiguration>
+  lostConfigurations(ConfigVersion Version) const {
+    return Review.lostConfigurations(Version);
+  }
+  /// Records what another instance knew before the restoration.
+  void recordLostConfigurations(const std::vector<LostConfiguration> &Known);
+
   /// Whether \p Known stays in force although the restored store has
   /// \p Restored in its place, or no item if that is null.
   bool supersedes(const StoreItem &Known, const StoreItem *Restored) const;
@@ -77,6 +96,11 @@
   void applyItem(const StoreItem &Item, const UnreadableItem &Unreadable);
   void put(const UpstreamRegistration &Registration, uint64_t CreatedRevision,
            uint64_t Revision);
+  void applyLowerVersion(const StoreItem &Item,
+                         const RouteConfiguration &Config);
+  /// \p Source is what the kind is known from.
+  void logDeferral(ConfigVersion Version, RestorationReview::RewriteKind Kind,
+                   std::string_view Source);
   void replaceConfiguration(const RouteConfiguration &Config,
                             uint64_t Revision);
   void logConfiguration(const RouteConfiguration &Config,
--- a/tests/model_instance.cpp
+++ b/tests/model_instance.cpp
@@ -70,6 +70,10 @@
     Result.Items = Changes ? *Changes : Peer.Mirror.all();
     if (Routes.version() < Peer.Routes.version())
       Result.Retained = Peer.Mirror.retained();
+    const auto Undecided = Applier.undecidedVersion();
+    if (Undecided && Sync.position().Era == Peer.Mirror.position().Era)
+      Applier.recordLostConfigurations(
+          Peer.Applier.lostConfigurations(*Undecided));
   }
   const std::vector<StoreItem> Retained = Result.Retained;
   const StorePosition PeerPosition = Result.Position;
--- a/tests/model_instance.h
+++ b/tests/model_instance.h
@@ -53,6 +53,11 @@
     Applier.applyDue();
   }
 
+  std::optional<ConfigVersion> undecidedVersion() const {
+    return Applier.undecidedVersion();
+  }
+  bool takeConfirmationRequest() { return Applier.takeConfirmationRequest(); }
+
   uint64_t configuration() const { return Routes.version().value(); }
   std::string service() const;
   /// The state of an upstream; nothing if it is unknown.
