Move the way of clients' packets out of Forwarder

Change: PacketPath receives, steers, sends and holds packets. It resets with the port that its socket is bound to, so a reload needs no exception for the data address any more. No behaviour changes.

--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -9,12 +9,11 @@
 #include "flow_steering.h"
 #include "forwarder_log.h"
 #include "forwarder_report_server.h"
-#include "held_packets.h"
 #include "http_server.h"
+#include "packet_path.h"
 #include "pause_guard.h"
 #include "peer_reporter.h"
 #include "steady_clock.h"
-#include "udp_endpoint.h"
 #include "upstream_check.h"
 #include "version.h"
 
@@ -29,10 +28,6 @@
 // How often a draining instance checks whether it may stop.
 constexpr Duration DrainCheckPeriod = std::chrono::milliseconds(50);
 
-// Packets that arrive before the first configuration wait this long. Clients
-// retransmit after 200 ms, and most give up after 500 ms.
-constexpr Duration HoldTime = std::chrono::milliseconds(400);
-
 // Reports carry about 100 placements in the second in which a stopping instance
 // still gets packets.
 constexpr size_t MaxPlacementsAtStop = 100;
@@ -42,9 +37,6 @@
 constexpr int PeriodsUntilRemoval = 3;
 constexpr Duration RemovalDelay = std::chrono::seconds(1);
 
-const SteeringDecision UnidentifiedDrop{SteeringAction::Drop,
-                                        SteeringReason::UnknownTag};
-
 Duration registrationLifetime(const ForwarderSettings &Settings) {
   return Settings.RegistrationPeriod * PeriodsUntilRemoval + RemovalDelay;
 }
@@ -60,16 +52,6 @@
   void startCheck(const Upstream &Suspect);
   void onCheckResult(UpstreamId Id, std::optional<CheckResult> Result);
   void receiveReport(const PeerReport &Report);
-  void readPending();
-  void startReceiving();
-  void receive(std::string_view Datagram);
-  /// Steers and sends a packet. Returns whether it must be held.
-  bool process(const PacketHeader &Packet, std::string_view Datagram);
-  /// Steers the held packets of a flow again.
-  void recordPlacements(const std::vector<FlowPlacement> &Placements);
-  void releaseHeld(const FlowAddress &Flow);
-  void dropExpired();
-  void sendReset(const PacketHeader &Packet);
   void maintain();
   void stop();
   void finishStop();
@@ -102,17 +84,12 @@
   ForwarderLog FlowLog;
   PeerReporter Reports;
   UpstreamCheck Checks;
-  UdpEndpoint DataSocket;
-  HeldPackets Held;
+  PacketPath Packets;
   HttpServer ReadinessServer;
   ForwarderReportServer ReportServer;
   LoopEvent MaintenanceTimer;
   LoopEvent StopTimer;
-  LoopEvent HoldTimer;
-  bool HasStartedReceiving = false;
-  uint64_t InvalidDatagrams = 0;
   TimePoint LastExpiry{};
-  TimePoint LastPacketTime{};
   std::optional<DrainMonitor> Drain;
   PauseGuard Pauses;
 };
@@ -142,7 +119,7 @@
                 .OnReset =
                     [this](const PacketHeader &Packet,
                            const SteeringDecision &Decision) {
-                      sendReset(Packet);
+                      Packets.sendReset(Packet);
                       FlowLog.writeDecision(Packet, Decision);
                     },
                 .IsOutdated =
@@ -183,7 +160,8 @@
       Follower(Loop, this->Settings, this->Protocol.Store, TimeSource, Log,
                {[this](const StoreSync::Update &Update) {
                   UpdateApplier.apply(Update);
-                  startReceiving();
+                  if (Routes.isLoaded())
+                    Packets.startReceiving();
                 },
                 [this] { return Routes.version(); },
                 [this](const StoreItem &Known, const StoreItem *Restored) {
@@ -211,20 +189,15 @@
              [this](UpstreamId Id, std::optional<CheckResult> Result) {
                onCheckResult(Id, Result);
              }),
-      DataSocket(this->Protocol.MaxPacketBytes), ReadinessServer(Loop),
-      ReportServer(Loop, [this] { return view(); }) {}
+      Packets(this->Protocol, Steering, Metrics, FlowLog, TimeSource,
+              [this] { recordActivity(); }),
+      ReadinessServer(Loop), ReportServer(Loop, [this] { return view(); }) {}
 
 std::string Forwarder::Impl::start() {
   TimeSource.refresh();
-  const auto OnReceive = [this](Endpoint, std::string_view Datagram) {
-    receive(Datagram);
-  };
-  if (const auto Error = DataSocket.open(Loop, Settings.DataAddress, OnReceive))
+  if (const auto Error = Packets.open(Loop, Settings.DataAddress))
     return "cannot bind " + toString(Settings.DataAddress) + ": " +
            Error.message() + "; free this address or change /dataAddress";
-  DataSocket.setReceiving(false);
-  HoldTimer = LoopEvent::after(Loop, HoldTime,
-                               [this] { DataSocket.setReceiving(true); });
   if (const auto Error = ReadinessServer.open(Settings.ReadyAddress))
     return "cannot listen on " + toString(Settings.ReadyAddress) + ": " +
            Error.message() + "; free this address or change /readyAddress";
@@ -263,7 +236,7 @@
           Follower,
           Log,
           Steering.flows(),
-          InvalidDatagrams,
+          Packets.invalidDatagrams(),
           isReady(),
           TimeSource.now(),
           Reports.counters(),
@@ -284,38 +257,24 @@
                                     std::optional<CheckResult> Result) {
   recordActivity();
   if (Result != CheckResult::Accepted)
-    readPending();
+    Packets.readPending();
   if (Result)
     Steering.recordCheckResult(Id, *Result);
   else
     Steering.recordVoidCheck(Id);
   if (!Checks.isPending())
     Steering.resetFlowsOfDeadUpstreams();
-  DataSocket.flush();
+  Packets.flush();
   if (Result)
     FlowLog.writeCheckResult(Id, *Result, Upstreams.find(Id));
 }
 
-// Before the first configuration, packets wait in the socket.
-void Forwarder::Impl::readPending() {
-  if (HasStartedReceiving)
-    DataSocket.receivePending();
-}
-
 void Forwarder::Impl::receiveReport(const PeerReport &Report) {
   recordActivity();
   if (!Report.Evidence.empty())
-    readPending();
+    Packets.readPending();
   Steering.recordPeerEvidence(Report);
-  recordPlacements(Report.Placements);
-}
-
-void Forwarder::Impl::startReceiving() {
-  if (HasStartedReceiving || !Routes.isLoaded())
-    return;
-  HasStartedReceiving = true;
-  HoldTimer = LoopEvent();
-  DataSocket.setReceiving(true);
+  Packets.recordPlacements(Report.Placements);
 }
 
 // Packets that arrived during a pause are read before any timer fires, so each
@@ -329,68 +288,6 @@
   Follower.confirmNow();
 }
 
-void Forwarder::Impl::receive(std::string_view Datagram) {
-  recordActivity();
-  PacketHeader Packet;
-  if (!Protocol.DecodePacket(Datagram, Packet)) {
-    ++InvalidDatagrams;
-    return;
-  }
-  LastPacketTime = TimeSource.now();
-  if (process(Packet, Datagram)) {
-    if (!Held.add(Packet, Datagram, TimeSource.now()))
-      FlowLog.writeDecision(Packet, UnidentifiedDrop);
-  } else if (!Held.isEmpty()) {
-    releaseHeld(Packet.Flow);
-  }
-}
-
-bool Forwarder::Impl::process(const PacketHeader &Packet,
-                              std::string_view Datagram) {
-  const SteeringDecision Decision = Steering.steer(Packet);
-  if (Decision.MayHold)
-    return true;
-  if (Decision.Action == SteeringAction::Forward) {
-    const UpstreamRegistration &Target = Decision.Target->Registration;
-    Protocol.EncodeForward(Datagram, Target.Id, Decision.Tag,
-                           DataSocket.nextBuffer());
-    DataSocket.commit(Target.Address);
-  } else if (Decision.Action == SteeringAction::Reset) {
-    sendReset(Packet);
-  }
-  FlowLog.writeDecision(Packet, Decision);
-  return false;
-}
-
-void Forwarder::Impl::releaseHeld(const FlowAddress &Flow) {
-  for (const HeldPackets::Entry &Entry : Held.take(Flow)) {
-    if (!process(Entry.Header, Entry.Datagram))
-      ++Metrics.ReleasedPackets;
-    else if (!Held.add(Entry.Header, Entry.Datagram, Entry.HeldAt))
-      FlowLog.writeDecision(Entry.Header, UnidentifiedDrop);
-  }
-}
-
-void Forwarder::Impl::recordPlacements(
-    const std::vector<FlowPlacement> &Placements) {
-  for (const FlowPlacement &Placement : Placements) {
-    Steering.recordPlacement(Placement);
-    releaseHeld(Placement.Flow);
-  }
-  DataSocket.flush();
-}
-
-void Forwarder::Impl::dropExpired() {
-  for (const HeldPackets::Entry &Entry : Held.takeExpired(TimeSource.now()))
-    FlowLog.writeDecision(Entry.Header, UnidentifiedDrop);
-}
-
-// Clients receive at the same port number as this process.
-void Forwarder::Impl::sendReset(const PacketHeader &Packet) {
-  Protocol.EncodeReset(Packet, DataSocket.nextBuffer());
-  DataSocket.commit({Packet.Flow.Client.Address, Settings.DataAddress.Port});
-}
-
 void Forwarder::Impl::maintain() {
   recordActivity();
   Lateness.recordFiring(TimeSource.now());
@@ -401,10 +298,10 @@
   if (UpdateApplier.takeConfirmationRequest())
     Follower.confirmNow();
   updateGate();
-  dropExpired();
+  Packets.dropExpired();
   Steering.startRequestedChecks();
   Steering.resetFlowsOfDeadUpstreams();
-  DataSocket.flush();
+  Packets.flush();
   if (TimeSource.now() - LastExpiry >= ExpiryPeriod) {
     LastExpiry = TimeSource.now();
     Steering.sweep();
@@ -424,7 +321,7 @@
                Upstreams.lastStartIn(Settings.Zone)},
               TimeSource.now());
   if (WasReachable && !Gate.isReachable(TimeSource.now()))
-    readPending();
+    Packets.readPending();
   if (Gate.isZoneSilent() && !WasZoneSilent)
     Steering.leaveSilentZone();
   else if (Gate.isZoneSuspect() && !WasZoneSuspect)
@@ -457,10 +354,10 @@
 
 void Forwarder::Impl::finishStop() {
   TimeSource.refresh();
-  if (!Drain->isDrainComplete(LastPacketTime, TimeSource.now()))
+  if (!Drain->isDrainComplete(Packets.lastPacketTime(), TimeSource.now()))
     return;
   const bool TrafficStopped =
-      Drain->hasTrafficStopped(LastPacketTime, TimeSource.now());
+      Drain->hasTrafficStopped(Packets.lastPacketTime(), TimeSource.now());
   // "quiet" is false if the stop limit passed while packets still arrived.
   Log.write(LogEvent::Stopped, [&] {
     return EventLog::Fields{{"flows", Steering.flows()},
@@ -468,7 +365,7 @@
   });
   writePending(Log, STDOUT_FILENO);
   // Packets that have arrived are still forwarded.
-  DataSocket.receivePending();
+  Packets.readLast();
   OnStop();
 }
 
@@ -487,11 +384,8 @@
     return EventLog::Fields{{"changed", Settings != PImpl->Settings},
                             {"store", toString(Settings.Store)}};
   });
-  // The data socket stays bound, so resets still use its port number.
-  const Endpoint BoundAddress = PImpl->Settings.DataAddress;
   PImpl->Settings = Settings;
   PImpl->Follower.reload(Settings);
-  PImpl->Settings.DataAddress = BoundAddress;
 }
 
 void Forwarder::logRejectedSettings(const std::string &Reason) {
