Let checks without an answer count only while the own link has room

Cause: a check makes two connections to the suspect and one to the reference, all through the own link. On a full link each of them is lost or late by chance, so now and then both to the suspect are, twice in a row, and the reference is not. Ruled out: the upstreams (they lived and answered others) and the reports of other instances (they lead to a check only).

Change: LinkLoad estimates from the rate in the settings and the packets sent and received whether packets waited in front of the link. A check without an answer at such a time is made again instead of counted; the word of two others does not stand for it in a silent zone either. A refusal and an accepted connection count as before.

--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -53,6 +53,9 @@
     /// Returns whether what is known of the store may be out of date after a
     /// pause of the process. Opening packets are then dropped.
     std::function<bool()> IsOutdated = [] { return false; };
+    /// Returns whether packets waited in front of this instance's own network
+    /// link while a check that ends now was made.
+    std::function<bool()> IsLinkCongested = [] { return false; };
     /// Returns the instances that share the limits of upstreams in a zone (see
     /// WarmupLimiter).
     WarmupLimiter::InstancesHook InstancesOfZone = [](const std::string &) {
@@ -195,6 +198,8 @@
   /// Resets an open flow that sent no packet now.
   void resetFlow(const FlowAddress &Address, SteeredFlow &Flow,
                  Upstream &Target, const ResetEvidence &Evidence);
+  /// Whether the result of a check tells something of the upstream.
+  bool isConclusive(CheckResult Result) const;
   /// Records the failed checks of other instances, and checks the upstream
   /// unless they suffice.
   void recordWitnesses(Upstream &Target);
--- a/src/flow_steering_resets.cpp
+++ b/src/flow_steering_resets.cpp
@@ -47,6 +47,10 @@
       Now - LastAnswerFromAnyUpstream <= RecentAnswerWindow;
   if (Target == nullptr || (!IsAccepting && !IsPathKnownToWork))
     return;
+  if (!isConclusive(Result)) {
+    Target->Reachability.requestCheck();
+    return;
+  }
   const bool NeedsRepetition = Target->Reachability.recordCheckResult(
       Result, Exchanges.countStopReports(*Target, Now) > 0, Now);
   const bool IsDead = Target->Reachability.isDead(Now);
@@ -58,6 +62,12 @@
     giveUp(*Target);
 }
 
+// On a congested link of this instance the packets of a check wait or are lost
+// like all others, also if those of the reference come through.
+bool FlowSteering::isConclusive(CheckResult Result) const {
+  return Result != CheckResult::NoAnswer || !FlowHooks.IsLinkCongested();
+}
+
 void FlowSteering::recordVoidCheck(UpstreamId Id) {
   if (Upstream *Target = Upstreams.find(Id))
     Target->Reachability.requestCheck();
@@ -166,7 +176,7 @@
   if (Witnesses > 0)
     Target.Reachability.recordWitness(Now);
   if (IsInSilentZone && Witnesses >= MinWitnessesInSilentZone &&
-      Opts.Gate->isZoneSilentToSelf(Now))
+      !FlowHooks.IsLinkCongested() && Opts.Gate->isZoneSilentToSelf(Now))
     Target.Reachability.recordSilence(Now);
   if (Target.Reachability.isDead(Now))
     giveUp(Target);
--- a/src/forwarder.cpp
+++ b/src/forwarder.cpp
@@ -84,6 +84,7 @@
   ForwarderLog FlowLog;
   PeerReporter Reports;
   UpstreamCheck Checks;
+  LinkLoad Load;
   PacketPath Packets;
   HttpServer ReadinessServer;
   ForwarderReportServer ReportServer;
@@ -127,6 +128,11 @@
                       return Pauses.isOutdated(Follower.sync().confirmedAt(),
                                                TimeSource.now());
                     },
+                .IsLinkCongested =
+                    [this] {
+                      return Load.wasCongestedSince(TimeSource.now() -
+                                                    UpstreamCheck::Timeout);
+                    },
                 .InstancesOfZone =
                     [this](const std::string &Zone) {
                       return Follower.membersOf(Zone);
@@ -189,7 +195,8 @@
              [this](UpstreamId Id, std::optional<CheckResult> Result) {
                onCheckResult(Id, Result);
              }),
-      Packets(this->Protocol, Steering, Metrics, FlowLog, TimeSource,
+      Load(this->Settings.LinkMbps),
+      Packets(this->Protocol, Steering, Metrics, FlowLog, Load, TimeSource,
               [this] { recordActivity(); }),
       ReadinessServer(Loop), ReportServer(Loop, [this] { return view(); }) {}
 
@@ -385,6 +392,7 @@
                             {"store", toString(Settings.Store)}};
   });
   PImpl->Settings = Settings;
+  PImpl->Load.setRate(Settings.LinkMbps);
   PImpl->Follower.reload(Settings);
 }
 
--- a/src/packet_path.cpp
+++ b/src/packet_path.cpp
@@ -17,11 +17,12 @@
 
 PacketPath::PacketPath(const ForwarderProtocol &Protocol,
                        FlowSteering &Steering, SteeringMetrics &Metrics,
-                       ForwarderLog &FlowLog, const EventClock &TimeSource,
+                       ForwarderLog &FlowLog, LinkLoad &Load,
+                       const EventClock &TimeSource,
                        std::function<void()> OnPacket)
     : Protocol(Protocol), Steering(Steering), Metrics(Metrics),
-      FlowLog(FlowLog), TimeSource(TimeSource), OnPacket(std::move(OnPacket)),
-      Socket(Protocol.MaxPacketBytes) {}
+      FlowLog(FlowLog), Load(Load), TimeSource(TimeSource),
+      OnPacket(std::move(OnPacket)), Socket(Protocol.MaxPacketBytes) {}
 
 std::error_code PacketPath::open(EventLoop &Loop, Endpoint Address) {
   const auto OnReceive = [this](Endpoint, std::string_view Datagram) {
@@ -51,6 +52,7 @@
 
 void PacketPath::receive(std::string_view Datagram) {
   OnPacket();
+  Load.recordReceived(Datagram.size(), TimeSource.now());
   PacketHeader Packet;
   if (!Protocol.DecodePacket(Datagram, Packet)) {
     ++InvalidDatagrams;
@@ -74,7 +76,7 @@
     const UpstreamRegistration &Target = Decision.Target->Registration;
     Protocol.EncodeForward(Datagram, Target.Id, Decision.Tag,
                            Socket.nextBuffer());
-    Socket.commit(Target.Address);
+    send(Target.Address);
   } else if (Decision.Action == SteeringAction::Reset) {
     sendReset(Packet);
   }
@@ -108,7 +110,12 @@
 // Clients receive at the same port number as this process.
 void PacketPath::sendReset(const PacketHeader &Packet) {
   Protocol.EncodeReset(Packet, Socket.nextBuffer());
-  Socket.commit({Packet.Flow.Client.Address, Socket.address().Port});
+  send({Packet.Flow.Client.Address, Socket.address().Port});
+}
+
+void PacketPath::send(Endpoint To) {
+  Load.recordSent(Socket.nextBuffer().size(), TimeSource.now());
+  Socket.commit(To);
 }
 
 } // namespace indigopoint
--- a/src/packet_path.h
+++ b/src/packet_path.h
@@ -10,6 +10,7 @@
 #include "forwarder.h"
 #include "forwarder_log.h"
 #include "held_packets.h"
+#include "link_load.h"
 #include "steady_clock.h"
 #include "udp_endpoint.h"
 
@@ -22,7 +23,7 @@
 public:
   /// \p OnPacket is called before each packet.
   PacketPath(const ForwarderProtocol &Protocol, FlowSteering &Steering,
-             SteeringMetrics &Metrics, ForwarderLog &FlowLog,
+             SteeringMetrics &Metrics, ForwarderLog &FlowLog, LinkLoad &Load,
              const EventClock &TimeSource, std::function<void()> OnPacket);
 
   /// Binds the socket. Packets wait in it until startReceiving, but not for
@@ -56,11 +57,14 @@
   /// Steers and sends a packet. Returns whether it must be held.
   bool process(const PacketHeader &Packet, std::string_view Datagram);
   void releaseHeld(const FlowAddress &Flow);
+  /// Queues the datagram in the socket's buffer.
+  void send(Endpoint To);
 
   const ForwarderProtocol &Protocol;
   FlowSteering &Steering;
   SteeringMetrics &Metrics;
   ForwarderLog &FlowLog;
+  LinkLoad &Load;
   const EventClock &TimeSource;
   std::function<void()> OnPacket;
   UdpEndpoint Socket;
--- a/src/upstream_check.cpp
+++ b/src/upstream_check.cpp
@@ -6,13 +6,6 @@
 
 namespace indigopoint {
 
-namespace {
-
-// Upstreams accept connections within a few milliseconds, even under load.
-constexpr Duration CheckTimeout = std::chrono::milliseconds(250);
-
-} // namespace
-
 struct UpstreamCheck::PendingReference {
   UpstreamId Id;
   bool IsPending = true;
@@ -40,7 +33,7 @@
   }
   ++PendingChecks;
   for (int Attempt = 0; Attempt < Check->PendingConnections; ++Attempt)
-    ConnectionCheck.start(Suspect.Registration.Address, CheckTimeout,
+    ConnectionCheck.start(Suspect.Registration.Address, Timeout,
                           [this, Check](CheckResult Result) {
                             // An accepted connection outweighs a refused one,
                             // and each of them the lack of an answer.
@@ -58,7 +51,7 @@
   LatestReference = std::make_shared<PendingReference>();
   LatestReference->Id = Reference.Registration.Id;
   ConnectionCheck.start(
-      Reference.Registration.Address, CheckTimeout,
+      Reference.Registration.Address, Timeout,
       [this, Connected = LatestReference](CheckResult Result) {
         Connected->IsPending = false;
         Connected->IsAccepting = Result == CheckResult::Accepted;
--- a/src/upstream_check.h
+++ b/src/upstream_check.h
@@ -13,6 +13,10 @@
 /// reference upstream that answered recently.
 class UpstreamCheck {
 public:
+  /// The longest time from start to the result. Upstreams accept connections
+  /// within a few milliseconds, even under load.
+  static constexpr Duration Timeout = std::chrono::milliseconds(250);
+
   /// There is no result if the reference failed as well.
   using ResultHook =
       std::function<void(UpstreamId, std::optional<CheckResult>)>;
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -141,9 +141,10 @@
          ResetFlows.push_back(Packet);
          Resets.emplace_back(Packet, Decision);
        },
-       [this] { return IsOutdated; }}};
+       [this] { return IsOutdated; }, [this] { return IsLinkCongested; }}};
   uint64_t Revision = 0;
   bool IsOutdated = false;
+  bool IsLinkCongested = false;
 };
 
 } // namespace indigopoint
--- a/tests/stopped_upstream_test.cpp
+++ b/tests/stopped_upstream_test.cpp
@@ -220,6 +220,13 @@
     return [=, this](uint64_t) { TimeSource.advance(Time); };
   };
   const Step NoAnswer = Checked(CheckResult::NoAnswer);
+  const auto Congested = [&](const Step &Played) -> Step {
+    return [=, this](uint64_t Id) {
+      IsLinkCongested = true;
+      Played(Id);
+      IsLinkCongested = false;
+    };
+  };
   const std::vector<Case> Cases = {
       {"one report", {Reported(1)}, false},
       {"two instances", {Reported(1), Reported(2)}, false},
@@ -247,6 +254,18 @@
       {"report of an earlier process",
        {Reported(1, {}, StartedAtMs - 1), NoAnswer},
        false},
+      {"two without an answer on a congested link",
+       {Congested(NoAnswer), Congested(NoAnswer)},
+       false},
+      {"one of them on a congested link",
+       {Congested(NoAnswer), NoAnswer},
+       false},
+      {"report, without an answer on a congested link",
+       {Reported(1), Congested(NoAnswer)},
+       false},
+      {"refused on a congested link",
+       {Congested(Checked(CheckResult::Refused))},
+       true},
   };
   for (const Case &Played : Cases) {
     SCOPED_TRACE(Played.Name);
