Let a draining upstream refuse checks without losing its open flows

Cause: a refused connection was taken for the end of the upstream at once. An upstream that stops gracefully closes its listener first. The log has check-refused as the cause of each reset, after upstream-changed state=draining. Ruled out: unanswered checks and the reports of other instances.

Change: a refusal by a draining upstream says nothing, and the check is made again. Its registration ends with it; from then on a refusal counts as before, and so does the lack of an answer at any time.

Tests: five cases of StoppedUpstreamTest.FlowsAreGivenUpOnlyOnAConfirmedCheckOfOnesOwn; three fail with refusals of draining upstreams taken as before.

--- a/src/flow_steering.h
+++ b/src/flow_steering.h
@@ -199,7 +199,7 @@
   void resetFlow(const FlowAddress &Address, SteeredFlow &Flow,
                  Upstream &Target, const ResetEvidence &Evidence);
   /// Whether the result of a check tells something of the upstream.
-  bool isConclusive(CheckResult Result) const;
+  bool isConclusive(CheckResult Result, const Upstream &Target) const;
   /// Records the failed checks of other instances, and checks the upstream
   /// unless they suffice.
   void recordWitnesses(Upstream &Target);
--- a/src/flow_steering_resets.cpp
+++ b/src/flow_steering_resets.cpp
@@ -47,7 +47,7 @@
       Now - LastAnswerFromAnyUpstream <= RecentAnswerWindow;
   if (Target == nullptr || (!IsAccepting && !IsPathKnownToWork))
     return;
-  if (!isConclusive(Result)) {
+  if (!isConclusive(Result, *Target)) {
     Target->Reachability.requestCheck();
     return;
   }
@@ -62,10 +62,21 @@
     giveUp(*Target);
 }
 
-// On a congested link of this instance the packets of a check wait or are lost
-// like all others, also if those of the reference come through.
-bool FlowSteering::isConclusive(CheckResult Result) const {
-  return Result != CheckResult::NoAnswer || !FlowHooks.IsLinkCongested();
+// An upstream that is about to stop may close its listener first and still
+// serve its open flows; its registration ends with it. On a congested link of
+// this instance the packets of a check wait or are lost like all others, also
+// if those of the reference come through.
+bool FlowSteering::isConclusive(CheckResult Result,
+                                const Upstream &Target) const {
+  switch (Result) {
+  case CheckResult::Accepted:
+    return true;
+  case CheckResult::Refused:
+    return Target.State != UpstreamState::Draining;
+  case CheckResult::NoAnswer:
+    return !FlowHooks.IsLinkCongested();
+  }
+  return false;
 }
 
 void FlowSteering::recordVoidCheck(UpstreamId Id) {
--- a/tests/stopped_upstream_test.cpp
+++ b/tests/stopped_upstream_test.cpp
@@ -220,6 +220,16 @@
     return [=, this](uint64_t) { TimeSource.advance(Time); };
   };
   const Step NoAnswer = Checked(CheckResult::NoAnswer);
+  const Step Refused = Checked(CheckResult::Refused);
+  const Step Drains = [this](uint64_t Id) {
+    Upstream &Target = *Upstreams.find(UpstreamId(Id));
+    UpstreamRegistration Registration = Target.Registration;
+    Registration.Draining = true;
+    Upstreams.put(Registration, Target.CreatedRevision, TimeSource.now());
+  };
+  const Step Leaves = [this](uint64_t Id) {
+    Upstreams.remove(UpstreamId(Id), TimeSource.now());
+  };
   const auto Congested = [&](const Step &Played) -> Step {
     return [=, this](uint64_t Id) {
       IsLinkCongested = true;
@@ -236,7 +246,13 @@
       {"a report, accepted here since, no answer later",
        {Reported(1), Checked(CheckResult::Accepted), Passes(1s), NoAnswer},
        false},
-      {"refused", {Checked(CheckResult::Refused)}, true},
+      {"refused", {Refused}, true},
+      // Guards against the loss of flows that the upstream still serves.
+      {"refused while draining", {Drains, Refused}, false},
+      {"refused twice while draining", {Drains, Refused, Refused}, false},
+      {"refused after it has left", {Drains, Leaves, Refused}, true},
+      {"no answer twice while draining", {Drains, NoAnswer, Repeated}, true},
+      {"report, refused while draining", {Drains, Reported(1), Refused}, false},
       {"one check without an answer", {NoAnswer}, false},
       {"a second one", {NoAnswer, Repeated}, true},
       {"a second one after an answer", {NoAnswer, Answers, Repeated}, false},
@@ -263,15 +279,15 @@
       {"report, without an answer on a congested link",
        {Reported(1), Congested(NoAnswer)},
        false},
-      {"refused on a congested link",
-       {Congested(Checked(CheckResult::Refused))},
-       true},
+      {"refused on a congested link", {Congested(Refused)}, true},
   };
   for (const Case &Played : Cases) {
     SCOPED_TRACE(Played.Name);
     TimeSource.advance(5s);
     Steering.sweep();
     const uint64_t Id = openFlow(Wait::Idle);
+    const UpstreamRegistration Registered =
+        Upstreams.find(UpstreamId(Id))->Registration;
     CheckedUpstreams.clear();
     for (const Step &Next : Played.Steps)
       Next(Id);
@@ -280,6 +296,7 @@
         Upstreams.find(UpstreamId(Id))->Reachability.isDead(TimeSource.now()),
         Played.IsReset);
     Answers(Id);
+    Upstreams.put(Registered, 1, TimeSource.now());
   }
 }
 
