Give up flows for a reused address only if their upstream has no entry

Cause: an upstream whose entry cannot be used counted like one that has left, so that any other registration with its address gave up its flows.

Change: an upstream whose entry is there but unusable keeps its address, and with it its flows, until the entry is gone.

Tests: four cases of RegistrationKeyTest, of which OtherWhileOwnIsUnreadable and OtherWhileOwnNamesAnUnnamedService fail without the check.

--- a/src/store_update_applier.cpp
+++ b/src/store_update_applier.cpp
@@ -139,9 +139,7 @@
 void StoreUpdateApplier::defer(KeyedRegistration Entry) {
   const UpstreamRegistration &Registration = Entry.Registration;
   if (isKeyOf(Entry.Key, Registration.Id))
-    logUpstream(Registration.Id,
-                Upstreams.remove(Registration.Id, TimeSource.now()),
-                Entry.Revision);
+    disable(Registration.Id, Entry.Revision);
   const bool IsServiceNamed = Routes.namesService(Registration.Service);
   if (Routes.isLoaded())
     logUnreadable(Entry.Key, Entry.Revision,
@@ -153,6 +151,13 @@
   Pending.put(std::move(Entry));
 }
 
+void StoreUpdateApplier::disable(UpstreamId Id, uint64_t Revision) {
+  logUpstream(Id,
+              Upstreams.remove(Id, TimeSource.now(),
+                               UpstreamRegistry::RemovalReason::Unusable),
+              Revision);
+}
+
 void StoreUpdateApplier::registerUpstream(const KeyedRegistration &Entry) {
   const UpstreamId Id = Entry.Registration.Id;
   put(Entry.Registration, Entry.CreatedRevision, Entry.Revision);
@@ -332,8 +337,13 @@
 void StoreUpdateApplier::applyItem(const StoreItem &Item,
                                    const UnreadableItem &Unreadable) {
   logUnreadable(Item.Key, Item.Revision, Unreadable.Reason);
-  if (Unreadable.Upstream)
-    applyItem(Item, UpstreamRemoval{*Unreadable.Upstream});
+  if (!Unreadable.Upstream)
+    return;
+  Pending.erase(Item.Key);
+  if (!isKeyOf(Item.Key, *Unreadable.Upstream))
+    return;
+  Review.release(*Unreadable.Upstream);
+  disable(*Unreadable.Upstream, Item.Revision);
 }
 
 void StoreUpdateApplier::logUnreadable(const std::string &Key,
--- a/src/store_update_applier.h
+++ b/src/store_update_applier.h
@@ -114,6 +114,8 @@
   bool isKeyOf(const std::string &Key, UpstreamId Id);
   bool mayRegister(const KeyedRegistration &Entry);
   void defer(KeyedRegistration Entry);
+  /// Takes an upstream out of use whose entry cannot be used.
+  void disable(UpstreamId Id, uint64_t Revision);
   void registerUpstream(const KeyedRegistration &Entry);
   /// Registers upstreams whose service the configuration names by now, or whose
   /// key was that of an upstream that has been forgotten since.
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -70,10 +70,13 @@
   return Result;
 }
 
-UpstreamRegistry::Change UpstreamRegistry::remove(UpstreamId Id,
-                                                  TimePoint Now) {
+UpstreamRegistry::Change UpstreamRegistry::remove(UpstreamId Id, TimePoint Now,
+                                                  RemovalReason Reason) {
   Upstream *Entry = find(Id);
-  if (Entry == nullptr || Entry->State == UpstreamState::Unregistered)
+  if (Entry == nullptr)
+    return Change::None;
+  Entry->HasUnusableEntry = Reason == RemovalReason::Unusable;
+  if (Entry->State == UpstreamState::Unregistered)
     return Change::None;
   Entry->State = UpstreamState::Unregistered;
   Entry->UnregisteredAt = Now;
@@ -225,7 +228,7 @@
 }
 
 bool UpstreamRegistry::isAddressReused(const Upstream &Target) const {
-  if (Target.State != UpstreamState::Unregistered)
+  if (Target.State != UpstreamState::Unregistered || Target.HasUnusableEntry)
     return false;
   return std::any_of(
       Upstreams.begin(), Upstreams.end(), [&](const auto &Entry) {
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -59,6 +59,9 @@
   /// When this instance learned that the upstream registered or restarted.
   TimePoint RegisteredAt{};
   TimePoint UnregisteredAt{};
+  /// Whether the upstream is unregistered although the store has an entry of
+  /// it, which cannot be used.
+  bool HasUnusableEntry = false;
   /// Number of open flows that this instance sends to the upstream. Written by
   /// flow steering.
   uint32_t OpenFlows = 0;
@@ -97,9 +100,17 @@
   Change put(const UpstreamRegistration &Registration, uint64_t CreatedRevision,
              TimePoint Now);
 
-  /// Marks an upstream as unregistered: its registration was deleted or is
-  /// invalid. The entry stays until expire() erases it.
-  Change remove(UpstreamId Id, TimePoint Now);
+  enum class RemovalReason : uint8_t {
+    /// The store has no entry of the upstream.
+    Missing,
+    /// The entry is there but cannot be used.
+    Unusable
+  };
+
+  /// Marks an upstream as unregistered. It stays known until expire() erases
+  /// it.
+  Change remove(UpstreamId Id, TimePoint Now,
+                RemovalReason Reason = RemovalReason::Missing);
 
   /// The registered upstreams that are not in \p PresentIds.
   std::vector<UpstreamId>
@@ -138,8 +149,9 @@
   /// the upstream has not registered again in time and has not answered since.
   bool isPresumedStopped(const Upstream &Target) const;
 
-  /// Whether \p Target is unregistered and a registered upstream has its
-  /// address.
+  /// Whether \p Target has no entry any more and a registered upstream has its
+  /// address. While there is an entry, its address is not given away; another
+  /// one with that address is then from another writer.
   bool isAddressReused(const Upstream &Target) const;
 
   /// The zones that an operator evacuates.
--- a/tests/registration_key_test.cpp
+++ b/tests/registration_key_test.cpp
@@ -55,6 +55,9 @@
 // The same with a service that the configuration names.
 const StoreItem Copy = {"a-b", "chat 9", 8, 8, false};
 
+// Another upstream with the address of the first one.
+const StoreItem Other = {"i-c", "chat 1", 25, 25, false};
+
 // The address of an upstream that is not known.
 constexpr uint32_t None = 0;
 
@@ -70,6 +73,9 @@
   std::vector<Step> Steps;
   uint32_t Address = None;
   UpstreamState State = UpstreamState::Ready;
+  /// Whether open flows of the upstream are given up for another one that has
+  /// its address.
+  bool IsAddressReused = false;
 };
 
 class RegistrationKeyTest : public testing::TestWithParam<KeyCase> {
@@ -102,6 +108,7 @@
             GetParam().Address);
   if (Known != nullptr) {
     EXPECT_EQ(Known->State, GetParam().State);
+    EXPECT_EQ(Upstreams.isAddressReused(*Known), GetParam().IsAddressReused);
   }
 }
 
@@ -185,6 +192,27 @@
           {Snapshot, {Config}},
           {Changes, {WiderConfig}}},
          None},
+        {"OtherTakesTheAddress",
+         {{Snapshot, {Config, Own}}, {Changes, {OwnDeleted, Other}}},
+         1,
+         Gone,
+         true},
+        // Another writer names the address of an upstream that lives.
+        {"OtherWhileOwnIsUnreadable",
+         {{Snapshot, {Config, Own}}, {Changes, {OwnUnreadable, Other}}},
+         1,
+         Gone},
+        {"OtherWhileOwnNamesAnUnnamedService",
+         {{Snapshot, {Config, Own}}, {Changes, {OwnOfUnnamedService, Other}}},
+         1,
+         Gone},
+        {"OtherAfterAnUnreadableOneVanished",
+         {{Snapshot, {Config, Own}},
+          {Changes, {OwnUnreadable, Other}},
+          {Changes, {OwnDeleted}}},
+         1,
+         Gone,
+         true},
         // Open flows stay at the upstream.
         {"ServiceIsNoLongerNamed",
          {{Snapshot, {Config, Own}},
