Send the configuration that came into force after a restoration to others

Cause: when a lower version came into force after a restoration, the version before it stayed among the retained items. It was not sent any more, but in the next restoration it took the place of the one in force, so that instances that started then got neither.

Change: retained items that are no longer in force are erased before the known ones are added.

Measured: the new part of StoreRestorationTest.StartingInstanceGetsTheVersionInForceInBetween fails without the change; 56 tests of restorations and of the mirror pass.

--- a/src/restoration_review.cpp
+++ b/src/restoration_review.cpp
@@ -13,7 +13,7 @@
 // and an operator writes a lost evacuation again.
 constexpr Duration ReRegistrationTime = std::chrono::milliseconds(2500);
 
-// Operators may write a version several times in turn until it is right.
+// Another version may follow at once, and going through both costs open flows.
 constexpr Duration ChangedVersionDelay = std::chrono::seconds(1);
 
 // Operators write all lost versions again, one after the other. Since a copy is
--- a/src/store_mirror.cpp
+++ b/src/store_mirror.cpp
@@ -40,11 +40,11 @@
                                  StorePosition NewPosition) {
   ItemMap KnownItems = std::exchange(Items, std::exchange(SnapshotItems, {}));
   if (IsFromRestoredStore) {
-    // An item that was retained already is the one in force.
+    // An item that was retained already and still is in force is later than the
+    // one that the store had.
+    eraseOutdatedRetainedItems();
     RetainedItems.merge(KnownItems);
-    std::erase_if(RetainedItems, [this](const auto &Entry) {
-      return Entry.second.Deleted || !isSuperseding(Entry.second);
-    });
+    eraseOutdatedRetainedItems();
   }
   // The snapshot may contain fewer changes than this instance has already seen.
   if (NewPosition > Position)
@@ -53,6 +53,12 @@
   Loaded = true;
 }
 
+void StoreMirror::eraseOutdatedRetainedItems() {
+  std::erase_if(RetainedItems, [this](const auto &Entry) {
+    return Entry.second.Deleted || !isSuperseding(Entry.second);
+  });
+}
+
 bool StoreMirror::isSuperseding(const StoreItem &Retained) const {
   return Supersedes(Retained, find(Retained.Key));
 }
--- a/src/store_mirror.h
+++ b/src/store_mirror.h
@@ -52,6 +52,7 @@
   using ItemMap = std::map<std::string, StoreItem>;
 
   void finishSnapshot(bool IsFromRestoredStore, StorePosition NewPosition);
+  void eraseOutdatedRetainedItems();
   /// Whether a retained item stays in force beside the store's one.
   bool isSuperseding(const StoreItem &Retained) const;
   void expireDeletions();
--- a/tests/store_restoration_test.cpp
+++ b/tests/store_restoration_test.cpp
@@ -314,6 +314,15 @@
   advance(1100ms);
   EXPECT_EQ(Instance.service(), "maps");
   EXPECT_TRUE(Instance.mirror().retained().empty());
+  // After another restoration that one is sent.
+  Store.restore();
+  Instance.follow(Store);
+  Next.follow(Store);
+  EXPECT_EQ(Instance.mirror().retained().size(), 1U);
+  ModelInstance Last(TimeSource);
+  Last.follow(Store);
+  Last.askPeer(Instance);
+  EXPECT_EQ(Last.service(), "maps");
 }
 
 // Guards against upstreams that lose all new flows until they register again.
