--- a/tests/store_restoration_test.cpp
+++ b/tests/store_restoration_test.cpp
@@ -29,6 +29,14 @@
     Instance.follow(Store);
   }
 
+  // The instance has had both versions in force; the copy has neither.
+  void useTwoVersions() {
+    Store.put("config", "12 chat");
+    Instance.follow(Store);
+    Store.put("config", "17 photos");
+    Instance.follow(Store);
+  }
+
   // Time in which the store answers.
   void advance(Duration Time) {
     TimeSource.advance(Time);
@@ -140,9 +148,7 @@
 
 // A lost version with other content is a decision of the operator.
 TEST_F(StoreRestorationTest, LostVersionWithOtherContentIsApplied) {
-  Store.put("config", "12 chat");
-  Instance.follow(Store);
-  Store.put("config", "17 photos");
+  useTwoVersions();
   restore();
   Store.put("config", "12 maps");
   Instance.follow(Store);
@@ -153,10 +159,7 @@
 
 // The same if the instance was started after the version was in use.
 TEST_F(StoreRestorationTest, PeerKnowsThatALostVersionHasOtherContent) {
-  Store.put("config", "12 chat");
-  Instance.follow(Store);
-  Store.put("config", "17 photos");
-  Instance.follow(Store);
+  useTwoVersions();
   ModelInstance Added(TimeSource);
   Added.follow(Store);
   restore();
@@ -196,10 +199,7 @@
 // started after that version, or skipped it.
 TEST_P(LostVersionTest, InstanceThatNeverSawItDoesNotGoBack) {
   const RewriteCase &Case = GetParam();
-  Store.put("config", "12 chat");
-  Instance.follow(Store);
-  Store.put("config", "17 photos");
-  Instance.follow(Store);
+  useTwoVersions();
   ModelInstance Added(TimeSource);
   Added.follow(Store);
   const auto Restore = [&] {
@@ -272,9 +272,7 @@
 // Guards against an instance that goes back by its own clock while it does not
 // hear of the version that was written since.
 TEST_F(StoreRestorationTest, DeferredVersionWaitsForTheStore) {
-  Store.put("config", "12 chat");
-  Instance.follow(Store);
-  Store.put("config", "17 photos");
+  useTwoVersions();
   restore();
   Store.put("config", "12 maps");
   Instance.follow(Store);
@@ -293,9 +291,7 @@
 // Guards against an instance that starts while lost versions are written again
 // and gets the earlier one from the store only.
 TEST_F(StoreRestorationTest, StartingInstanceGetsTheVersionInForceInBetween) {
-  Store.put("config", "12 chat");
-  Instance.follow(Store);
-  Store.put("config", "17 photos");
+  useTwoVersions();
   restore();
   Store.put("config", "12 chat");
   Instance.follow(Store);
