--- a/review/lib-3/fixture.py
+++ b/review/lib-3/fixture.py
@@ -106,7 +106,7 @@
 
 
 class Flow:
-    """One flow of a client: opens, sends one request, and ends."""
+    """One flow of a client with one request."""
 
     def __init__(self, client, service, port):
         self.client, self.service, self.port = client, service, port
@@ -118,8 +118,8 @@
                         acknowledged, tag, data)
         self.client.socket.sendto(packet.encode(), self.client.route(self))
 
-    def run(self, request=b"request"):
-        """Returns "answered", "reset" or "silent"."""
+    def run(self, request=b"request", stays_open=False):
+        """Opens the flow and sends a request. Returns "answered", "reset" or "silent"."""
         first = time.monotonic()
         self.send(OPEN, self.sequence)
         due = [first + delay for delay in OPENING_COPIES_S]
@@ -145,6 +145,8 @@
             return "silent"
         if reply.is_reset:
             return "reset"
+        if stays_open:
+            return "answered"
         self.send(FINISH | ACKNOWLEDGE, number + len(request), reply.sequence, reply.tag)
         return "answered"
 
