--- a/review/lib-3/fixture.py
+++ b/review/lib-3/fixture.py
@@ -77,79 +77,151 @@
 
 
 class Target(Upstream):
-    """An upstream of the stand-ins that drops packets for other ids, as targets do, and tells
-    the case of each opening packet and of each request."""
-
-    def __init__(self, identity, address, service, zone, on_event):
-        self.service, self.on_event = service, on_event
-        # Returns whether an opening packet is ignored, as by a target that is full.
-        self.is_full = lambda packet: False
+    """An upstream that keeps its flows as targets do: it ignores packets for other ids and,
+    while it is full, openings; it resets what it does not hold. Tells the case what it gets."""
+
+    RESPONSE = b"response"
+    # An opening whose handshake does not end is forgotten.
+    HALF_OPEN_S = 3
+
+    def __init__(self, identity, address, service, zone, on_event, max_connections=2000):
+        self.service, self.on_event, self.max_connections = service, on_event, max_connections
+        # By client: time of the opening, whether the handshake has ended, the next byte
+        # that is expected, and the next one to send.
+        self.held, self.lock = {}, threading.Lock()
         super().__init__(identity, address, DATA_PORT, DATA_PORT)
         self.zone = zone
 
     def handle(self, raw, source):
         if struct.unpack(">Q", raw[:8])[0] != self.identity:
-            self.on_event("foreign", self, None)
+            self.on_event("foreign", self, Packet.decode(raw[8:]))
             return
         packet = Packet.decode(raw[8:])
+        with self.lock:
+            answer = self.answer(packet)
+        if answer is not None:
+            self.socket.sendto(answer.encode(), (packet.source[0], self.client_port))
+
+    def reply(self, packet, flags, sequence=0, acknowledged=0, data=b""):
+        return Packet(packet.destination, packet.source, flags, sequence, acknowledged,
+                      packet.tag, data)
+
+    def answer(self, packet):
+        flow = self.held.get(packet.source)
+        if packet.is_reset:
+            self.held.pop(packet.source, None)
+            return None
         if packet.is_opening:
-            if self.is_full(packet):
+            return self.answer_opening(packet, flow)
+        if flow is not None and not flow[1]:
+            flow[1] = packet.acknowledged == self.sequence + 1
+            if flow[1]:
+                self.on_event("opened", self, packet)
+        if flow is None or not flow[1]:
+            if packet.flags & FINISH:
+                return self.reply(packet, ACKNOWLEDGE, packet.acknowledged, packet.sequence)
+            return self.reply(packet, RESET, packet.acknowledged) if packet.data else None
+        return self.answer_data(packet, flow)
+
+    def answer_opening(self, packet, flow):
+        if flow is None:
+            now = time.monotonic()
+            for client in [client for client, other in self.held.items()
+                           if not other[1] and now - other[0] > self.HALF_OPEN_S]:
+                del self.held[client]
+            if len(self.held) >= self.max_connections:
                 self.on_event("ignored", self, packet)
-                return
+                return None
+            self.held[packet.source] = [now, False, packet.sequence + 1, self.sequence + 1]
             self.on_event("opening", self, packet)
-        elif packet.data and packet.source not in self.flows and self.proves_handshake(packet):
+        return self.reply(packet, OPEN | ACKNOWLEDGE, self.sequence, packet.sequence + 1)
+
+    def answer_data(self, packet, flow):
+        data = b""
+        if packet.data and packet.sequence == flow[2]:
             self.on_event("run", self, packet)
-        self.respond(packet)
+            flow[2] = (flow[2] + len(packet.data)) & 0xffffffff
+            data = self.RESPONSE
+        sequence = flow[3]
+        flow[3] += len(data)
+        if packet.flags & FINISH:
+            del self.held[packet.source]
+            return self.reply(packet, ACKNOWLEDGE, sequence, flow[2])
+        return self.reply(packet, ACKNOWLEDGE, sequence, flow[2], data) if data else None
 
     def entry(self, state="ready", cold_s=0, born=1):
         return self.registration(self.service, state, born, cold_s)
 
 
 class Flow:
-    """One flow of a client with one request."""
+    """One flow of a client. Its packets go through the instance that the client's route
+    names at that moment."""
 
     def __init__(self, client, service, port):
         self.client, self.service, self.port = client, service, port
         self.packets = queue.Queue()
-        self.sequence = (0x11223344 + port * 7919) & 0xffffffff
+        self.first_sequence = (0x11223344 + port * 7919) & 0x7fffffff
+        self.next, self.acknowledged, self.tag = self.first_sequence, 0, 0
+        # When each copy of the opening was sent.
+        self.openings = []
 
     def send(self, flags, sequence, acknowledged=0, tag=0, data=b""):
         packet = Packet((self.client.address, self.port), self.service, flags, sequence,
                         acknowledged, tag, data)
         self.client.socket.sendto(packet.encode(), self.client.route(self))
 
-    def run(self, request=b"request", stays_open=False):
-        """Opens the flow and sends a request. Returns "answered", "reset" or "silent"."""
+    def open(self):
+        """Returns "open", "reset" or "silent"."""
         first = time.monotonic()
-        self.send(OPEN, self.sequence)
-        due = [first + delay for delay in OPENING_COPIES_S]
-        copies, answer = 0, None
-        while answer is None:
+        due = [first + delay for delay in (0,) + OPENING_COPIES_S]
+        while True:
             now = time.monotonic()
-            if now >= first + OPENING_LIMIT_S:
-                return "silent"
             if due and now >= due[0]:
                 del due[0]
-                copies += 1
-                self.send(OPEN, self.sequence, copies)
+                self.send(OPEN, self.first_sequence, len(self.openings))
+                self.openings.append(now)
                 continue
             answer = self.receive((due[0] if due else first + OPENING_LIMIT_S) - now)
             if answer is not None and answer.is_reset:
                 return "reset"
-        number = self.sequence + 1
-        self.send(ACKNOWLEDGE, number, answer.sequence + 1, answer.tag, request)
-        reply = self.receive(1)
-        while reply is not None and reply.is_opening:
-            reply = self.receive(1)
-        if reply is None:
-            return "silent"
-        if reply.is_reset:
-            return "reset"
-        if stays_open:
-            return "answered"
-        self.send(FINISH | ACKNOWLEDGE, number + len(request), reply.sequence, reply.tag)
+            if answer is not None and answer.is_opening:
+                self.next, self.acknowledged = self.first_sequence + 1, answer.sequence + 1
+                self.tag = answer.tag
+                return "open"
+            if answer is None and not due and time.monotonic() >= first + OPENING_LIMIT_S:
+                return "silent"
+
+    def request(self, data=b"request", seconds=1):
+        """Sends a request on the open flow. Returns "answered", "reset" or "silent"."""
+        self.send(ACKNOWLEDGE, self.next, self.acknowledged, self.tag, data)
+        end = time.monotonic() + seconds
+        while True:
+            reply = self.receive(end - time.monotonic())
+            if reply is None:
+                return "silent"
+            self.tag = reply.tag or self.tag
+            if reply.is_reset:
+                return "reset"
+            if reply.data and reply.sequence == self.acknowledged:
+                break
+        self.next += len(data)
+        self.acknowledged += len(reply.data)
+        self.send(ACKNOWLEDGE, self.next, self.acknowledged, self.tag)
         return "answered"
 
+    def close(self):
+        self.send(FINISH | ACKNOWLEDGE, self.next, self.acknowledged, self.tag)
+
+    def run(self, stays_open=False):
+        """Opens the flow and sends a request. Returns "answered", "reset" or "silent"."""
+        result = self.open()
+        if result != "open":
+            return result
+        result = self.request()
+        if result == "answered" and not stays_open:
+            self.close()
+        return result
+
     def receive(self, seconds):
         try:
             return self.packets.get(timeout=max(0.001, seconds))
@@ -220,9 +292,9 @@
         self.instances.append(instance)
         return instance
 
-    def add_target(self, number, service, zone, on_event):
+    def add_target(self, number, service, zone, on_event, **options):
         target = Target(0x7f3a0000 + number, self.address(UPSTREAMS, number), service, zone,
-                        on_event)
+                        on_event, **options)
         self.targets.append(target)
         return target
 
