--- a/review/lib-3/fixture.py
+++ b/review/lib-3/fixture.py
@@ -270,7 +270,8 @@
         for instance in self.instances:
             instance.kill()
         self.instances = []
-        shutil.rmtree(self.temporary, ignore_errors=True)
+        if not os.environ.get("KEEP"):
+            shutil.rmtree(self.temporary, ignore_errors=True)
 
     def address(self, network, host):
         return self.slot.address(network, host)
@@ -283,7 +284,7 @@
         address = self.address(INSTANCES, host)
         instance = Instance(
             str(PROGRAM), self.temporary, "front-%s-%d" % (zone, host), address, DATA_PORT,
-            self.store.address, zone=zone, readyAddress="%s:%d" % (address, READY_PORT),
+            settings.pop("store", self.store.address), zone=zone, readyAddress="%s:%d" % (address, READY_PORT),
             peerAddress=self.peer_address(host), seeds=seeds,
             metricsAddress="%s:%d" % (address, REPORT_PORT + 1),
             reportAddress="%s:%d" % (address, REPORT_PORT),
