--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -14,6 +14,7 @@
 
 #include "connection_progress.h"
 #include "event_loop.h"
+#include "http_body.h"
 #include "steady_clock.h"
 
 namespace indigopoint {
@@ -23,6 +24,11 @@
 // Larger than any response of the store that lists keys. A call with a larger
 // response fails.
 constexpr ev_ssize_t MaxBodyBytes = ev_ssize_t{8} * 1024 * 1024;
+constexpr ev_ssize_t MaxHeaderBytes = ev_ssize_t{64} * 1024;
+
+// The library limits neither trailers nor what separates the chunks of a body.
+constexpr size_t MaxResponseBytes =
+    static_cast<size_t>(MaxBodyBytes + 2 * MaxHeaderBytes);
 
 // Turns of the loop in which a response of MaxBodyBytes is read, with a
 // reserve.
@@ -45,9 +51,7 @@
   if (Response == nullptr)
     return Result;
   Result.Status = evhttp_request_get_response_code(Response);
-  evbuffer *Body = evhttp_request_get_input_buffer(Response);
-  Result.Body.resize(evbuffer_get_length(Body));
-  evbuffer_copyout(Body, Result.Body.data(), Result.Body.size());
+  Result.Body = takeBody(evhttp_request_get_input_buffer(Response));
   const evkeyvalq *Headers = evhttp_request_get_input_headers(Response);
   for (const evkeyval *Header = Headers->tqh_first; Header != nullptr;
        Header = Header->next.tqe_next) {
@@ -105,7 +109,13 @@
   }
 
   static void onInput(evbuffer *, const evbuffer_cb_info *Info, void *Context) {
-    static_cast<PendingCall *>(Context)->ReceivedBytes += Info->n_added;
+    auto &Call = *static_cast<PendingCall *>(Context);
+    Call.ReceivedBytes += Info->n_added;
+    if (Call.ReceivedBytes <= MaxResponseBytes)
+      return;
+    HttpResult Result;
+    Result.IsTooLarge = true;
+    Call.Owner->finish(Call, std::move(Result));
   }
 
   // Called before onResponse.
@@ -137,6 +147,7 @@
       bufferevent_get_input(evhttp_connection_get_bufferevent(Call.Connection)),
       onInput, &Call);
   evhttp_connection_set_max_body_size(Call.Connection, MaxBodyBytes);
+  evhttp_connection_set_max_headers_size(Call.Connection, MaxHeaderBytes);
   evhttp_connection_set_timeout(Call.Connection, LibraryTimeoutSeconds);
   Call.Progress.emplace(evhttp_connection_get_bufferevent(Call.Connection));
   Call.IdleTimeout = Parameters.IdleTimeout;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 
 #include "event_loop.h"
+#include "http_body.h"
 #include "socket_address.h"
 
 namespace indigopoint {
@@ -60,9 +61,7 @@
       Out.Query[Parameter->key] = Parameter->value;
     evhttp_clear_headers(&Query);
   }
-  evbuffer *Body = evhttp_request_get_input_buffer(LibeventRequest);
-  Out.Body.resize(evbuffer_get_length(Body));
-  evbuffer_copyout(Body, Out.Body.data(), Out.Body.size());
+  Out.Body = takeBody(evhttp_request_get_input_buffer(LibeventRequest));
   return Out;
 }
 
@@ -116,7 +115,7 @@
       throw std::bad_alloc();
     const timeval Idle = toTimeval(IdleTimeout);
     evhttp_set_timeout_tv(Http, &Idle);
-    evhttp_set_max_body_size(Http, MaxBodyBytes);
+    evhttp_set_max_body_size(Http, 0);
     evhttp_set_max_headers_size(Http, MaxHeaderBytes);
     evhttp_set_gencb(Http, onRequest, this);
   }
@@ -185,6 +184,9 @@
 
 void HttpServer::route(const std::string &Method, const std::string &Path,
                        Handler OnRequest) {
+  // A body that no handler takes would fill the memory of the process.
+  if (Method == "POST" || Method == "PUT")
+    evhttp_set_max_body_size(PImpl->Http, MaxBodyBytes);
   PImpl->Routes.push_back({Method, Path, std::move(OnRequest)});
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -47,7 +47,8 @@
   Endpoint address() const;
 
   /// Handles requests of \p Method for \p Path. A path that ends in "/" also
-  /// matches all paths below it.
+  /// matches all paths below it. Bodies are refused until a POST or PUT is
+  /// handled.
   void route(const std::string &Method, const std::string &Path,
              Handler OnRequest);
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -272,6 +272,43 @@
   EXPECT_EQ(call("PUT", "/big", "x").Status, 200);
 }
 
+// Guards against a process that bodies fill which none of its handlers takes.
+TEST_F(HttpTest, RefusesBodiesThatNoHandlerTakes) {
+  Server.route("GET", "/status",
+               [](const HttpRequest &, const auto &Respond) { Respond({}); });
+  EXPECT_EQ(call("POST", "/status", "x").Status, 413);
+  EXPECT_EQ(call("POST", "/status").Status, 405);
+  Server.route("POST", "/status",
+               [](const HttpRequest &, const auto &Respond) { Respond({}); });
+  EXPECT_EQ(call("POST", "/status", "x").Status, 200);
+}
+
+// Guards against a response that fills the memory by what is not its body.
+TEST_F(HttpTest, LimitsAllPartsOfAResponse) {
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  for (const auto &[Begin, Repeated] :
+       {std::pair(Head, "X-Header: value\r\n"), std::pair(Head, "X"),
+        std::pair(Head + "Transfer-Encoding: chunked\r\n\r\n", "0"),
+        std::pair(Head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n")}) {
+    ManualPeer Peer;
+    std::optional<HttpResult> Response;
+    HttpClient Client(Loop);
+    Client.call({Peer.address(), "GET", "/", "", 30s},
+                [&](HttpResult Result) { Response = std::move(Result); });
+    std::string Unsent = Begin;
+    ASSERT_TRUE(runUntil(Loop, [&] {
+      if (Peer.hasReceivedRequest())
+        Unsent.erase(0, Peer.send(Unsent));
+      while (Unsent.size() < size_t{1} << 16)
+        Unsent += Repeated;
+      return Response.has_value();
+    })) << Repeated;
+    EXPECT_EQ(Response->Status, 0) << Repeated;
+    EXPECT_EQ(Response->IsTooLarge, Begin != Head) << Repeated;
+    EXPECT_LT(Response->ReceivedBytes, size_t{10} << 20) << Repeated;
+  }
+}
+
 // Guards against a caller that repeats a call whose answer can only grow.
 TEST_F(HttpTest, ReportsThatAResponseIsTooLarge) {
   Server.route("GET", "/huge",
