--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -1,5 +1,6 @@
 #include "peer_codec.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -26,9 +27,17 @@
 // bytes and a configuration of 1 MB.
 constexpr size_t MaxUncompressedBytes = size_t{32} * 1024 * 1024;
 
+// Registrations are compressed to a fifth, long configurations to a sixteenth.
+// A value of the largest size that the store takes may be more repetitive.
+constexpr size_t MaxCompressionRatio = 32;
+constexpr size_t AnyRatioBytes = size_t{2} * 1024 * 1024;
+
 // The number of items stands before them, and the memory for them is allocated
-// at once.
-constexpr int32_t MaxListEntries = 100'000;
+// at once. An item without any content has ten bytes.
+constexpr size_t MinItemBytes = 10;
+
+// Larger than the numbers of instances and versions in any answer.
+constexpr size_t MaxAnswerEntries = 1024;
 
 constexpr size_t UncompressStepBytes = size_t{16} * 1024;
 
@@ -95,14 +104,15 @@
   return Buffer->getBufferAsString();
 }
 
-template <typename Struct> bool read(const std::string &Bytes, Struct &Out) {
+template <typename Struct>
+bool read(const std::string &Bytes, size_t MaxEntries, Struct &Out) {
   try {
     const auto Buffer = std::make_shared<TMemoryBuffer>(
         reinterpret_cast<uint8_t *>(const_cast<char *>(Bytes.data())),
         static_cast<uint32_t>(Bytes.size()));
     // A text is no longer than the bytes, whatever its length field says.
     CompactProtocol Protocol(Buffer, static_cast<int32_t>(Bytes.size()),
-                             MaxListEntries);
+                             static_cast<int32_t>(MaxEntries));
     Out.read(&Protocol);
   } catch (const std::exception &) {
     return false;
@@ -115,7 +125,9 @@
                                            size_t StatedBytes) {
   std::string Out;
   z_stream Stream{};
-  if (StatedBytes > MaxUncompressedBytes || inflateInit(&Stream) != Z_OK)
+  const size_t MaxBytes = std::min(
+      MaxUncompressedBytes, AnyRatioBytes + MaxCompressionRatio * Bytes.size());
+  if (StatedBytes > MaxBytes || inflateInit(&Stream) != Z_OK)
     return std::nullopt;
   Stream.next_in = reinterpret_cast<Bytef *>(const_cast<char *>(Bytes.data()));
   Stream.avail_in = static_cast<uInt>(Bytes.size());
@@ -142,8 +154,11 @@
   const auto UncompressedBytes =
       uncompressItems(Bytes, static_cast<size_t>(UnpackedBytes));
   wire::PeerItems Content;
-  if (!UncompressedBytes || !read(*UncompressedBytes, Content))
+  if (!UncompressedBytes ||
+      !read(*UncompressedBytes, UncompressedBytes->size() / MinItemBytes,
+            Content))
     return false;
+  Out.reserve(Content.items.size());
   for (wire::PeerItem &Item : Content.items)
     Out.push_back(fromWire(Item));
   return true;
@@ -237,7 +252,7 @@
 std::optional<PeerAnswer> decodePeerAnswer(const std::string &Bytes) {
   wire::PeerState State;
   PeerAnswer Out;
-  if (!read(Bytes, State) || !isAgeValid(State.age) ||
+  if (!read(Bytes, MaxAnswerEntries, State) || !isAgeValid(State.age) ||
       !unpackItems(State.packedItems, State.unpackedBytes, Out.Changes.Items) ||
       !unpackItems(State.packedRetainedItems, State.unpackedRetainedBytes,
                    Out.Changes.Retained))
