--- a/src/config_codec.cpp
+++ b/src/config_codec.cpp
@@ -6,9 +6,9 @@
 #include <stdexcept>
 #include <string_view>
 
-#include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include "document_reader.h"
 #include "json_fields.h"
 
 namespace indigopoint {
@@ -115,7 +115,7 @@
 template <typename Value, typename Decoder>
 std::error_code decode(const std::string &Text, Value &Out, Decoder Decode) {
   try {
-    Out = Decode(Json::parse(Text));
+    Out = Decode(readWholeDocument(Text, DocumentFormat::Json));
   } catch (const std::exception &) {
     return std::make_error_code(std::errc::bad_message);
   }
--- a/src/flow_history.cpp
+++ b/src/flow_history.cpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <set>
 
-#include <nlohmann/json.hpp>
+#include "document_reader.h"
 
 namespace indigopoint {
 
@@ -35,7 +35,13 @@
   const size_t Start = Text.find('{');
   if (Start == std::string::npos)
     return std::nullopt;
-  Json Line = Json::parse(Text.substr(Start), nullptr, false);
+  Json Line;
+  try {
+    Line = readOrderedDocument(std::string_view(Text).substr(Start),
+                               DocumentFormat::Json);
+  } catch (const DocumentError &) {
+    return std::nullopt;
+  }
   if (!Line.is_object() || !Line.contains("event") ||
       !Line.value("time", Json()).is_string() ||
       !Line.value("instance", Json()).is_string())
--- a/src/health_poller.cpp
+++ b/src/health_poller.cpp
@@ -1,6 +1,6 @@
 #include "health_poller.h"
 
-#include <nlohmann/json.hpp>
+#include "document_reader.h"
 
 namespace indigopoint {
 
@@ -17,10 +17,14 @@
 } // namespace
 
 HealthStatus parseHealthStatus(const HttpResult &Result) {
-  const Json Body = Json::parse(Result.Body, nullptr, false);
-  if (Result.Status != 200 || !Body.is_object() || !Body.contains("status"))
+  if (Result.Status != 200)
     return HealthStatus::NoAnswer;
-  const Json &Status = Body.at("status");
+  Json Status;
+  try {
+    Status = readDocument(Result.Body, DocumentFormat::Json).at("status");
+  } catch (const std::exception &) {
+    return HealthStatus::NoAnswer;
+  }
   if (Status == "healthy")
     return HealthStatus::Healthy;
   if (Status == "unhealthy")
--- a/src/json_document.cpp
+++ b/src/json_document.cpp
@@ -4,7 +4,7 @@
 #include <array>
 #include <iterator>
 
-#include <nlohmann/json.hpp>
+#include "document_reader.h"
 
 namespace indigopoint {
 
@@ -15,48 +15,6 @@
 constexpr std::array<std::string_view, 6> TypeNames = {
     "null", "boolean", "number", "string", "array", "object"};
 
-struct ReadPosition {
-  unsigned Line = 1;
-  char LastChar = 0;
-};
-
-// Counts the lines that the parser has read. The parser copies its iterators,
-// so the position is stored outside the iterator.
-class CountingIterator {
-public:
-  using iterator_category = std::input_iterator_tag;
-  using value_type = char;
-  using difference_type = std::ptrdiff_t;
-  using pointer = const char *;
-  using reference = const char &;
-
-  CountingIterator(const char *Current, ReadPosition *Position)
-      : Current(Current), Position(Position) {}
-  reference operator*() const { return *Current; }
-  CountingIterator &operator++() {
-    Position->LastChar = *Current;
-    if (*Current == '\n')
-      ++Position->Line;
-    ++Current;
-    return *this;
-  }
-  CountingIterator operator++(int) {
-    CountingIterator Previous = *this;
-    ++*this;
-    return Previous;
-  }
-  bool operator==(const CountingIterator &Other) const {
-    return Current == Other.Current;
-  }
-  bool operator!=(const CountingIterator &Other) const {
-    return Current != Other.Current;
-  }
-
-private:
-  const char *Current;
-  ReadPosition *Position;
-};
-
 std::string escapePointer(const std::string &Key) {
   std::string Escaped;
   for (char Character : Key) {
@@ -72,14 +30,18 @@
 
 // Builds the tree from parser events. The overrides implement the SAX interface
 // of the parser.
-class TreeBuilder : public nlohmann::json_sax<Json> {
+class TreeBuilder : public DocumentHandler {
 public:
-  TreeBuilder(const std::string &File, const ReadPosition &Position,
+  TreeBuilder(const std::string &File, size_t TextBytes,
               const JsonLimits &Limits, SiteErrors &Errors)
-      : File(std::make_shared<std::string>(File)), Position(Position),
-        Limits(Limits), Errors(Errors) {}
+      : File(std::make_shared<std::string>(File)), Limits(Limits),
+        Errors(Errors), Budget(TextBytes, WholeBytesPerByte) {}
 
   JsonNode Root;
+  /// The line of the current value.
+  unsigned Line = 1;
+
+  void addSyntaxError(const DocumentError &Error);
 
   bool null() override { return add({}); }
   bool boolean(bool Value) override {
@@ -116,8 +78,11 @@
   bool end_object() override { return close(); }
   bool end_array() override { return close(); }
   bool key(string_t &Value) override;
-  bool parse_error(std::size_t, const std::string &Token,
-                   const nlohmann::detail::exception &Exception) override;
+  // Text is no MessagePack, whose errors are reported here.
+  bool parse_error(std::size_t, const std::string &,
+                   const nlohmann::detail::exception &) override {
+    return false;
+  }
 
 private:
   bool addNumber(double Value, std::optional<int64_t> Integer);
@@ -128,11 +93,31 @@
   }
   bool open(JsonNode::ValueType Type);
   bool close();
+  bool hasUniqueKeys(const std::vector<JsonMember> &Members);
+
+  // Makes room for one more value, whose texts take \p TextBytes.
+  template <typename Values> void reserveNext(Values &List, size_t TextBytes) {
+    Budget.use(TextBytes);
+    if (List.size() == List.capacity())
+      resize(List, List.size() + List.size() / 2 + 1);
+  }
+
+  // The old values and the new ones exist at the same time.
+  template <typename Values> void resize(Values &List, size_t Capacity) {
+    using Value = typename Values::value_type;
+    const size_t OldBytes = List.capacity() * sizeof(Value);
+    Budget.use(Capacity * sizeof(Value));
+    Values Resized;
+    Resized.reserve(Capacity);
+    std::move(List.begin(), List.end(), std::back_inserter(Resized));
+    List = std::move(Resized);
+    Budget.release(OldBytes);
+  }
 
   std::shared_ptr<const std::string> File;
-  const ReadPosition &Position;
   const JsonLimits &Limits;
   SiteErrors &Errors;
+  MemoryBudget Budget;
   std::vector<JsonNode *> OpenContainers;
   std::string Key;
   unsigned KeyLine = 0;
@@ -143,26 +128,25 @@
   Node.Type = JsonNode::ValueType::Number;
   Node.Number = Value;
   Node.Integer = Integer;
-  JsonNode &NewNode = addNode(std::move(Node));
-  // The parser reads one character past a number.
-  if (Position.LastChar == '\n')
-    --NewNode.Line;
-  return true;
+  return add(std::move(Node));
 }
 
 JsonNode &TreeBuilder::addNode(JsonNode Node) {
   Node.File = File;
-  Node.Line = Position.Line;
+  Node.Line = Line;
   if (OpenContainers.empty())
     return Root = std::move(Node);
   JsonNode &Parent = *OpenContainers.back();
   if (Parent.Type == JsonNode::ValueType::Array) {
     Node.Pointer = Parent.Pointer + "/" + std::to_string(Parent.Items.size());
     Node.KeyLine = Node.Line;
+    reserveNext(Parent.Items, Node.Pointer.capacity() + Node.String.capacity());
     return Parent.Items.emplace_back(std::move(Node));
   }
   Node.Pointer = Parent.Pointer + "/" + escapePointer(Key);
   Node.KeyLine = KeyLine;
+  reserveNext(Parent.Members, Key.capacity() + Node.Pointer.capacity() +
+                                  Node.String.capacity());
   return Parent.Members.emplace_back(Key, std::move(Node)).Value;
 }
 
@@ -182,44 +166,54 @@
 }
 
 bool TreeBuilder::close() {
+  if (!hasUniqueKeys(OpenContainers.back()->Members))
+    return false;
   // Large files have many small objects, whose spare room adds up.
-  OpenContainers.back()->Items.shrink_to_fit();
-  OpenContainers.back()->Members.shrink_to_fit();
+  resize(OpenContainers.back()->Items, OpenContainers.back()->Items.size());
+  resize(OpenContainers.back()->Members, OpenContainers.back()->Members.size());
   OpenContainers.pop_back();
   return true;
 }
 
 bool TreeBuilder::key(string_t &Value) {
-  Key = Value;
-  KeyLine = Position.Line;
-  const JsonNode *FirstNode = OpenContainers.back()->find(Value);
-  if (FirstNode == nullptr)
+  Key = std::move(Value);
+  KeyLine = Line;
+  return true;
+}
+
+// Compares neighbours in the order of their keys: an object may have very many.
+bool TreeBuilder::hasUniqueKeys(const std::vector<JsonMember> &Members) {
+  Budget.use(Members.size() * sizeof(const JsonMember *));
+  std::vector<const JsonMember *> Sorted;
+  Sorted.reserve(Members.size());
+  for (const JsonMember &Member : Members)
+    Sorted.push_back(&Member);
+  const auto IsLess = [](const JsonMember *A, const JsonMember *B) {
+    return std::pair(std::string_view(A->Key), A) <
+           std::pair(std::string_view(B->Key), B);
+  };
+  std::sort(Sorted.begin(), Sorted.end(), IsLess);
+  const auto First =
+      std::adjacent_find(Sorted.begin(), Sorted.end(),
+                         [](const JsonMember *A, const JsonMember *B) {
+                           return A->Key == B->Key;
+                         });
+  Budget.release(Members.size() * sizeof(const JsonMember *));
+  if (First == Sorted.end())
     return true;
+  const auto &[Name, FirstNode] = **First;
   Errors.push_back(
-      {SiteErrorKind::DuplicateKey, *File, KeyLine, FirstNode->Pointer,
-       "the key \"" + Value + "\" twice",
-       "remove it here or in line " + std::to_string(FirstNode->KeyLine)});
+      {SiteErrorKind::DuplicateKey, *File, (*std::next(First))->Value.KeyLine,
+       FirstNode.Pointer, "the key \"" + Name + "\" twice",
+       "remove it here or in line " + std::to_string(FirstNode.KeyLine)});
   return false;
 }
 
-bool TreeBuilder::parse_error(std::size_t, const std::string &Token,
-                              const nlohmann::detail::exception &Exception) {
-  // "[json.exception.parse_error.101] parse error at line ...: syntax error
-  // while parsing value - unexpected ..."
-  std::string Reason = Exception.what();
-  const size_t Detail = Reason.find(" - ");
-  if (Detail != std::string::npos)
-    Reason.erase(0, Detail + 3);
-  const unsigned Line = Position.LastChar == '\n' && Position.Line > 1
-                            ? Position.Line - 1
-                            : Position.Line;
-  const std::string Pointer =
-      OpenContainers.empty() ? "" : OpenContainers.back()->Pointer;
+void TreeBuilder::addSyntaxError(const DocumentError &Error) {
   Errors.push_back(
-      {SiteErrorKind::Syntax, *File, Line, Pointer,
-       Token.empty() ? Reason : "\"" + Token + "\" (" + Reason + ")",
-       "correct the JSON before this position"});
-  return false;
+      {SiteErrorKind::Syntax, *File, Error.line() == 0 ? Line : Error.line(),
+       OpenContainers.empty() ? "" : OpenContainers.back()->Pointer,
+       Error.what(), "correct the JSON before this position"});
 }
 
 } // namespace
@@ -304,13 +298,17 @@
          "keep the file within " + std::to_string(Limits.MaxBytes) + " bytes"});
     return std::nullopt;
   }
-  ReadPosition Position;
-  TreeBuilder Builder(File, Position, Limits, Errors);
-  const CountingIterator Begin(Text.data(), &Position);
-  const CountingIterator End(Text.data() + Text.size(), &Position);
-  if (!Json::sax_parse(Begin, End, &Builder, Json::input_format_t::json, true,
-                       Limits.AllowsComments))
+  TreeBuilder Builder(File, Text.size(), Limits, Errors);
+  try {
+    if (!scanDocument(Text,
+                      Limits.AllowsComments ? DocumentFormat::JsonWithComments
+                                            : DocumentFormat::Json,
+                      Builder, &Builder.Line))
+      return std::nullopt;
+  } catch (const DocumentError &Error) {
+    Builder.addSyntaxError(Error);
     return std::nullopt;
+  }
   return std::move(Builder.Root);
 }
 
--- a/src/peer_exchange.cpp
+++ b/src/peer_exchange.cpp
@@ -144,6 +144,9 @@
   }
   for (const PeerInfo &Entry : Answer->Peers)
     Peers.update(Entry);
+  for (auto *Items : {&Answer->Changes.Items, &Answer->Changes.Retained})
+    for (StoreItem &Item : *Items)
+      StateHooks.LimitKeptValue(Item);
   StateHooks.LostVersions.Record(Answer->Changes.Lost);
   Answer->Changes.Age += TimeSource.now() - Result.ArrivedAt;
   OnAnswer(Answer->Changes);
--- a/src/peer_exchange.h
+++ b/src/peer_exchange.h
@@ -41,6 +41,9 @@
     /// Returns the version of the configuration in force.
     std::function<ConfigVersion()> Configuration;
     LostVersionHooks LostVersions;
+    /// See StoreProtocol::LimitKeptValue. An earlier version of the program
+    /// sends values as they are in the store.
+    std::function<void(StoreItem &)> LimitKeptValue = [](StoreItem &) {};
   };
 
   PeerExchange(EventLoop &Loop, HttpClient &Http, PeerInfo Self,
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -5,8 +5,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
+#include "document_reader.h"
 #include "json_fields.h"
 
 namespace indigopoint {
@@ -84,15 +83,15 @@
     return Out;
   }
   try {
-    const Json Body = Json::parse(Answer.Body);
+    const Json Body = readDocument(Answer.Body, DocumentFormat::Json,
+                                   {{"items", [&Out](const Json &Entry) {
+                                       if (auto Item = toItem(Entry))
+                                         Out.Items.push_back(std::move(*Item));
+                                     }}});
     Out.Position = {eraOf(Answer), readNumber(Body, "revision", UINT64_MAX)};
     Out.MorePages = readFlag(Body, "more");
-    const Json &Entries = Body.at("items");
-    if (!Entries.is_array())
+    if (!Body.at("items").is_array())
       throw std::invalid_argument("items is no list");
-    for (const Json &Entry : Entries)
-      if (auto Item = toItem(Entry))
-        Out.Items.push_back(std::move(*Item));
     Out.ResultStatus = StoreResult::Status::Answered;
   } catch (const std::exception &Error) {
     Out = {};
@@ -103,17 +102,16 @@
 
 bool parseInstanceList(const std::string &Text, InstanceListObserved &Out) {
   try {
-    const Json Body = Json::parse(Text);
-    const Json &Items = Body.at("instances");
-    if (!Items.is_array())
-      return false;
-    for (const Json &Item : Items)
-      if (auto Instance = toInstance(Item))
-        Out.Instances.push_back(std::move(*Instance));
-  } catch (const Json::exception &) {
+    const Json Body =
+        readDocument(Text, DocumentFormat::Json,
+                     {{"instances", [&Out](const Json &Entry) {
+                         if (auto Instance = toInstance(Entry))
+                           Out.Instances.push_back(std::move(*Instance));
+                       }}});
+    return Body.at("instances").is_array();
+  } catch (const std::exception &) {
     return false;
   }
-  return true;
 }
 
 PlatformClient::PlatformClient(EventLoop &Loop, Endpoint Platform,
--- a/src/settings_reader.cpp
+++ b/src/settings_reader.cpp
@@ -6,7 +6,7 @@
 #include <numeric>
 #include <sstream>
 
-#include <nlohmann/json.hpp>
+#include "document_reader.h"
 
 namespace indigopoint {
 
@@ -222,9 +222,11 @@
   std::vector<SettingsError> Errors;
   Json Root;
   try {
-    Root = Json::parse(Text, nullptr, true, true);
-  } catch (const Json::parse_error &Error) {
-    return {{File, "", Error.what(), "correct the JSON text"}};
+    Root = readDocument(Text, DocumentFormat::JsonWithComments);
+  } catch (const DocumentError &Error) {
+    return {{File, "",
+             "line " + std::to_string(Error.line()) + ": " + Error.what(),
+             "correct the JSON text"}};
   }
   if (!Root.is_object())
     return {{File, "", Root.dump(), "give an object"}};
--- a/src/status_text.cpp
+++ b/src/status_text.cpp
@@ -2,8 +2,7 @@
 #include <cmath>
 #include <sstream>
 
-#include <nlohmann/json.hpp>
-
+#include "document_reader.h"
 #include "status_report.h"
 
 namespace indigopoint {
@@ -137,12 +136,12 @@
 std::string statusText(const std::string &Report) {
   std::ostringstream Out;
   try {
-    const Json Content = Json::parse(Report);
+    const Json Content = readWholeDocument(Report, DocumentFormat::Json);
     if (isForwarder(Content))
       writeForwarder(Content, Out);
     else
       writeReport(Content, Out);
-  } catch (const Json::exception &) {
+  } catch (const std::exception &) {
     return {};
   }
   return Out.str();
--- a/src/store_client.cpp
+++ b/src/store_client.cpp
@@ -2,8 +2,7 @@
 
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
+#include "document_reader.h"
 #include "event_loop.h"
 #include "http_client.h"
 
@@ -39,11 +38,11 @@
       Reply.Result != StoreReply::Status::Conflict)
     return Reply;
   try {
-    const auto JsonBody = nlohmann::json::parse(Body);
+    const auto JsonBody = readWholeDocument(Body, DocumentFormat::Json);
     Reply.Revision = JsonBody.value("revision", uint64_t{0});
     Reply.Value = JsonBody.value("value", std::string());
     Reply.Keys = JsonBody.value("keys", std::vector<std::string>());
-  } catch (const nlohmann::json::exception &) {
+  } catch (const std::exception &) {
     Reply.Result = StoreReply::Status::NoAnswer;
     Reply.Detail = "a malformed answer";
   }
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -96,7 +96,8 @@
       Exchange(Loop, Http, ownPeerInfo(Settings), Peers, Mirror, TimeSource,
                {[this] { return dataAge(); },
                 [this] { return this->StateHooks.Configuration(); },
-                this->StateHooks.LostVersions}) {}
+                this->StateHooks.LostVersions, this->Protocol.LimitKeptValue}) {
+}
 
 void StoreFollower::Impl::startCallIfDue() {
   TimeSource.refresh();
@@ -127,14 +128,15 @@
   Call.To = Store;
   Call.IdleTimeout = Query.IdleTimeout;
   Call.Timeout = Query.Timeout;
-  Http.call(Call,
-            [this, Query, CallNumber = ++LastCall](const HttpResult &Answer) {
-              StoreResult Result = Protocol.DecodeResult(Query, Answer);
-              TimeSource.refresh();
-              Result.Age = TimeSource.now() - Answer.ArrivedAt;
-              Result.ReceivedBytes = Answer.ReceivedBytes;
-              onResult(Query, CallNumber, std::move(Result));
-            });
+  Http.call(Call, [this, Query, CallNumber = ++LastCall](HttpResult Answer) {
+    StoreResult Result = Protocol.DecodeResult(Query, Answer);
+    // The items have what is used of it.
+    Answer.Body = std::string();
+    TimeSource.refresh();
+    Result.Age = TimeSource.now() - Answer.ArrivedAt;
+    Result.ReceivedBytes = Answer.ReceivedBytes;
+    onResult(Query, CallNumber, std::move(Result));
+  });
 }
 
 void StoreFollower::Impl::onResult(const StoreQuery &Query, uint64_t CallNumber,
--- a/src/store_follower.h
+++ b/src/store_follower.h
@@ -22,6 +22,9 @@
   std::function<HttpCall(const StoreQuery &)> EncodeQuery;
   std::function<StoreResult(const StoreQuery &, const HttpResult &)>
       DecodeResult;
+  /// Reduces the value of an item of another instance to what is kept of it.
+  /// DecodeResult has done so with its items.
+  std::function<void(StoreItem &)> LimitKeptValue = [](StoreItem &) {};
 };
 
 /// Follows the changes of the store, directly or through other instances, and
--- a/src/store_format.cpp
+++ b/src/store_format.cpp
@@ -2,9 +2,8 @@
 
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "config_codec.h"
+#include "document_reader.h"
 #include "json_fields.h"
 
 namespace indigopoint {
@@ -99,7 +98,7 @@
 std::error_code decodeSnapshotHeader(const std::string &Text,
                                      SnapshotHeader &Out) {
   try {
-    const auto Value = nlohmann::json::parse(Text);
+    const auto Value = readWholeDocument(Text, DocumentFormat::Json);
     Out = {ConfigVersion(readNumber(Value, "version", UINT64_MAX)),
            static_cast<uint32_t>(readNumber(Value, "parts", UINT32_MAX))};
   } catch (const std::exception &) {
--- a/tests/odd_entries.cpp
+++ b/tests/odd_entries.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base64.h"
+#include "large_documents.h"
 #include "platform/store_codec.h"
 
 namespace indigopoint {
@@ -135,6 +136,12 @@
   Out.push_back({"TextOfAnEntry", OddKey, Json(valid().dump()).dump()});
 }
 
+void addLargeValues(std::vector<OddEntry> &Out) {
+  constexpr size_t LargeValueBytes = 100'000;
+  for (const LargeDocument &Document : largeDocuments(LargeValueBytes))
+    Out.push_back({Document.Kind, OddKey, Document.Bytes});
+}
+
 // Keys that name no upstream, or that lead to the id of another one.
 void addKeys(std::vector<OddEntry> &Out) {
   const std::string Entry = valid().dump();
@@ -167,6 +174,7 @@
   addNesting(Out);
   addLengths(Out);
   addBytes(Out);
+  addLargeValues(Out);
   addKeys(Out);
   return Out;
 }
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -36,7 +36,8 @@
                 },
                 [this](const std::vector<LostConfiguration> &Told) {
                   Heard = Told;
-                }}}) {}
+                }},
+               [](StoreItem &Item) { Item.Value.resize(2); }}) {}
 
     ManualClock TimeSource;
     EventClock EventTime;
@@ -102,6 +103,22 @@
   EXPECT_EQ(Client.Peers.size(), 1U);
 }
 
+// Guards against the values of other writers that an instance of an earlier
+// version passes on as they are.
+TEST_F(PeerExchangeTest, ValuesOfPeersAreLimited) {
+  using Content = StoreSync::Update::Content;
+  Server.Mirror.apply({Content::Snapshot, {{"k", "value", 5, 4, false}}},
+                      {0, 9});
+  Server.Mirror.apply({Content::Retained, {{"r", "other", 3, 3, false}}},
+                      {0, 9});
+  Server.Configuration = ConfigVersion(1);
+  const StoreResult Result = ask(0, 0s);
+  ASSERT_EQ(Result.Items.size(), 1U);
+  EXPECT_EQ(Result.Items[0].Value, "va");
+  ASSERT_EQ(Result.Retained.size(), 1U);
+  EXPECT_EQ(Result.Retained[0].Value, "ot");
+}
+
 TEST_F(PeerExchangeTest, ChangeAnswersPendingRequest) {
   Server.Mirror.apply({StoreSync::Update::Content::Snapshot, {}}, {0, 9});
   bool HasAnswer = false;
