--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,7 @@
 
 from fault_proxy import Mode
 from flow_platform import (COLD_PER_S, CONFIGURATION_KEY, alias_key, configuration,
-                           evacuation_key, foreign_entries)
+                           evacuation_key, foreign_entries, large_foreign_entries)
 from load import BusyProcesses, Starvation
 from oracle import Version
 
@@ -445,7 +445,8 @@
         foreign = self.system.foreign
         alias = alias_key(self.random.choice(self.system.upstreams).identity)
         key = self.random.choice([foreign.key, alias])
-        self.system.store.put(key, self.random.choice(foreign_entries(foreign.address)))
+        entries = foreign_entries(foreign.address) + large_foreign_entries()
+        self.system.store.put(key, self.random.choice(entries))
         self.later(self.duration(FAULT_S), lambda: self.system.store.remove(key))
         return True
 
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -24,6 +24,8 @@
     # An upstream whose registration is missing for longer while the store is there is to be
     # treated as gone.
     missing: float = 2.0
+    # The memory of the smallest machine of any deployment.
+    memory_bytes: int = 56 << 20
     # A loaded machine may delay a packet or a thread of the oracle for this long.
     slack: float = 0.5
 
@@ -60,6 +62,8 @@
     def __init__(self, bounds=None):
         self.bounds = bounds or Bounds()
         self.violations, self.versions = [], []
+        # Starts of instances whose memory has been reported.
+        self.reported_memory = set()
         self.disturbances = Disturbances()
         # The service of each upstream, and when the store acknowledged its drain.
         self.services, self.draining = {}, {}
@@ -256,6 +260,12 @@
             self.record_violation(now, "ended: %s was told to stop and ended with %s" % (
                 instance, code))
 
+    def check_memory(self, instance, start_number, peak_bytes, now):
+        start = (instance, start_number)
+        if peak_bytes > self.bounds.memory_bytes and start not in self.reported_memory:
+            self.reported_memory.add(start)
+            self.record_violation(now, "memory: %s needed %d bytes" % (instance, peak_bytes))
+
     def check_recovery(self, instance, served, opened, now):
         if served < opened:
             self.record_violation(now, "unserved: %s served %d of %d flows after all "
--- a/soak/oracle_test.py
+++ b/soak/oracle_test.py
@@ -211,6 +211,14 @@
         self.oracle.process_ended("instance-1", -6, True, 1)
         self.assertEqual(len(self.oracle.violations), 2)
 
+    def test_sees_a_process_that_needs_more_than_the_smallest_machine_has_once(self):
+        limit = self.oracle.bounds.memory_bytes
+        self.oracle.check_memory("instance-1", 1, limit, 1)
+        self.assert_nothing_seen()
+        self.oracle.check_memory("instance-1", 1, limit + 1, 2)
+        self.oracle.check_memory("instance-1", 1, limit + 2, 3)
+        self.assert_violation("memory")
+
     def test_sees_an_instance_that_does_not_serve_after_recovery(self):
         self.oracle.check_recovery("instance-1", 10, 10, 1)
         self.assert_nothing_seen()
--- a/soak/system.py
+++ b/soak/system.py
@@ -162,6 +162,8 @@
 
     def watch_processes(self, faults):
         for instance in self.instances:
+            self.oracle.check_memory(instance.name, instance.start_count,
+                                     instance.memory_peak_bytes(), time.monotonic())
             code = instance.process.poll()
             if code is not None and id(instance) not in faults.busy:
                 self.oracle.process_ended(instance.name, code, False, time.monotonic())
--- a/src/document_reader.cpp
+++ b/src/document_reader.cpp
@@ -52,6 +52,8 @@
              DocumentHandler &Handler, unsigned &Line)
       : Text(Text), Stream(Stream), Handler(Handler), Line(Line) {}
 
+  // The names are those that the parser calls.
+  // NOLINTBEGIN(readability-identifier-naming)
   bool Null() { return countLines() && Handler.null(); }
   bool Bool(bool Value) { return countLines() && Handler.boolean(Value); }
   bool Int(int Value) { return Int64(Value); }
@@ -78,6 +80,7 @@
   bool EndObject(rapidjson::SizeType) { return Handler.end_object(); }
   bool StartArray() { return countLines() && Handler.start_array(SIZE_MAX); }
   bool EndArray(rapidjson::SizeType) { return Handler.end_array(); }
+  // NOLINTEND(readability-identifier-naming)
 
   // Sets the line of the position up to which the text has been parsed.
   bool countLines() { return countLines(Stream.Tell()); }
--- a/src/forwarder_report.cpp
+++ b/src/forwarder_report.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <prometheus/text_serializer.h>
 
+#include "document_reader.h"
+#include "memory_usage.h"
 #include "version.h"
 
 namespace indigopoint {
@@ -189,11 +191,32 @@
               "Log lines over the rate or size.", {}, View.Log.suppressed());
 }
 
+void addMemory(MetricsBuilder &Out) {
+  const MemoryUsage Usage = memoryUsage();
+  for (const auto &[State, Bytes] :
+       {std::pair("used", Usage.HeapUsed), std::pair("free", Usage.HeapFree)})
+    Out.gauge("indigopoint_heap_bytes", "Heap in use, and freed but kept.",
+              {{"state", State}}, static_cast<double>(Bytes));
+  Out.gauge("indigopoint_resident_peak_bytes",
+            "Most physical memory since the start.", {},
+            static_cast<double>(Usage.ResidentPeak));
+  const DocumentStatistics Documents = documentStatistics();
+  Out.gauge("indigopoint_document_max_bytes", "Largest document that was read.",
+            {}, static_cast<double>(Documents.LargestDocument));
+  Out.gauge("indigopoint_document_max_memory_bytes",
+            "Most memory that the values of a document took.", {},
+            static_cast<double>(Documents.MostMemory));
+  Out.counter("indigopoint_documents_refused_total",
+              "Documents that were malformed or took too much memory.", {},
+              Documents.Refused);
+}
+
 } // namespace
 
 std::string metricsText(const ForwarderView &View) {
   MetricsBuilder Out;
   addState(View, Out);
+  addMemory(Out);
   addDecisions(View, Out);
   addServices(View, Out);
   return Out.text();
--- a/src/json_document.cpp
+++ b/src/json_document.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
+#include <numeric>
 
 #include "document_reader.h"
 
@@ -183,28 +184,25 @@
 
 // Compares neighbours in the order of their keys: an object may have very many.
 bool TreeBuilder::hasUniqueKeys(const std::vector<JsonMember> &Members) {
-  Budget.use(Members.size() * sizeof(const JsonMember *));
-  std::vector<const JsonMember *> Sorted;
-  Sorted.reserve(Members.size());
-  for (const JsonMember &Member : Members)
-    Sorted.push_back(&Member);
-  const auto IsLess = [](const JsonMember *A, const JsonMember *B) {
-    return std::pair(std::string_view(A->Key), A) <
-           std::pair(std::string_view(B->Key), B);
-  };
-  std::sort(Sorted.begin(), Sorted.end(), IsLess);
-  const auto First =
-      std::adjacent_find(Sorted.begin(), Sorted.end(),
-                         [](const JsonMember *A, const JsonMember *B) {
-                           return A->Key == B->Key;
-                         });
-  Budget.release(Members.size() * sizeof(const JsonMember *));
+  Budget.use(Members.size() * sizeof(size_t));
+  std::vector<size_t> Sorted(Members.size());
+  std::iota(Sorted.begin(), Sorted.end(), 0);
+  std::sort(Sorted.begin(), Sorted.end(), [&Members](size_t A, size_t B) {
+    return std::pair(std::string_view(Members[A].Key), A) <
+           std::pair(std::string_view(Members[B].Key), B);
+  });
+  const auto First = std::adjacent_find(
+      Sorted.begin(), Sorted.end(), [&Members](size_t A, size_t B) {
+        return Members[A].Key == Members[B].Key;
+      });
+  Budget.release(Members.size() * sizeof(size_t));
   if (First == Sorted.end())
     return true;
-  const auto &[Name, FirstNode] = **First;
+  const auto &[Name, FirstNode] = Members[*First];
   Errors.push_back(
-      {SiteErrorKind::DuplicateKey, *File, (*std::next(First))->Value.KeyLine,
-       FirstNode.Pointer, "the key \"" + Name + "\" twice",
+      {SiteErrorKind::DuplicateKey, *File,
+       Members[*std::next(First)].Value.KeyLine, FirstNode.Pointer,
+       "the key \"" + Name + "\" twice",
        "remove it here or in line " + std::to_string(FirstNode.KeyLine)});
   return false;
 }
--- a/src/store_follower.cpp
+++ b/src/store_follower.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "event_loop.h"
+#include "memory_usage.h"
 #include "sync_planner.h"
 
 namespace indigopoint {
@@ -17,6 +18,10 @@
 constexpr Duration MaxContactPeriod = std::chrono::seconds(2);
 constexpr Duration ContactTimeout = std::chrono::milliseconds(500);
 
+// What such an answer takes while it is read is worth returning to the system.
+// A page of 500 registrations is smaller.
+constexpr size_t LargeAnswerBytes = size_t{512} * 1024;
+
 Duration delayAfterChange(const ForwarderSettings &Settings) {
   return std::chrono::duration_cast<Duration>(
       Settings.ChangeBound *
@@ -136,6 +141,8 @@
     Result.Age = TimeSource.now() - Answer.ArrivedAt;
     Result.ReceivedBytes = Answer.ReceivedBytes;
     onResult(Query, CallNumber, std::move(Result));
+    if (Answer.ReceivedBytes >= LargeAnswerBytes)
+      releaseFreeMemory();
   });
 }
 
--- a/standins/flow_platform.py
+++ b/standins/flow_platform.py
@@ -267,6 +267,21 @@
             server.server_close()
 
 
+# The largest value that the store takes.
+VALUE_BYTES = 1 << 20
+
+
+def large_foreign_entries():
+    """Values of the largest size, in forms that are costly to read."""
+    def packed_list(part):
+        count = (VALUE_BYTES - 5) // len(part)
+        return b"\xdd" + count.to_bytes(4, "big") + part * count
+
+    return [packed_list(b"\x80"), packed_list(b"\x81\xa0\x80"),
+            b'{"x":[[]' + b",[]" * ((VALUE_BYTES - 10) // 3) + b"]}",
+            b"{" + b"\n" * (VALUE_BYTES - 1)]
+
+
 def foreign_entries(address):
     """Values of registrations by another writer, none of which names a usable upstream."""
     valid = Upstream.make_registration(address, "chat")
--- a/standins/forwarder_process.py
+++ b/standins/forwarder_process.py
@@ -53,6 +53,15 @@
             caught = next(line for line in status if line.startswith("SigCgt:"))
         return bool(int(caught.split()[1], 16) >> (number - 1) & 1)
 
+    def memory_peak_bytes(self):
+        """The most physical memory of the process; 0 if it has ended."""
+        try:
+            with open("/proc/%d/status" % self.process.pid) as status:
+                return next((int(line.split()[1]) * 1024 for line in status
+                             if line.startswith("VmHWM:")), 0)
+        except OSError:
+            return 0
+
     def is_ready(self, timeout=2):
         connection = http.client.HTTPConnection(self.ready_address, timeout=timeout)
         try:
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -237,6 +237,10 @@
         "# TYPE indigopoint_open_seconds histogram\n",
         "# TYPE indigopoint_timer_late_seconds histogram\n",
         "indigopoint_upstreams{state=\"ready\"} 1",
+        "indigopoint_heap_bytes{state=\"used\"} ",
+        "indigopoint_resident_peak_bytes ", "indigopoint_document_max_bytes ",
+        "indigopoint_document_max_memory_bytes ",
+        "indigopoint_documents_refused_total ",
         "indigopoint_configuration_version 1"})
     EXPECT_NE(Metrics.Body.find(Line), std::string::npos) << Line;
   const HttpResult Status = get(Settings.MetricsAddress, "/status");
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -286,7 +286,7 @@
 // Guards against a response that fills the memory by what is not its body.
 TEST_F(HttpTest, LimitsAllPartsOfAResponse) {
   const std::string Head = "HTTP/1.1 200 OK\r\n";
-  for (const auto &[Begin, Repeated] :
+  for (const auto &Parts :
        {std::pair(Head, "X-Header: value\r\n"), std::pair(Head, "X"),
         std::pair(Head + "Transfer-Encoding: chunked\r\n\r\n", "0"),
         std::pair(Head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n")}) {
@@ -295,7 +295,8 @@
     HttpClient Client(Loop);
     Client.call({Peer.address(), "GET", "/", "", 30s},
                 [&](HttpResult Result) { Response = std::move(Result); });
-    std::string Unsent = Begin;
+    const std::string Repeated = Parts.second;
+    std::string Unsent = Parts.first;
     ASSERT_TRUE(runUntil(Loop, [&] {
       if (Peer.hasReceivedRequest())
         Unsent.erase(0, Peer.send(Unsent));
@@ -304,7 +305,7 @@
       return Response.has_value();
     })) << Repeated;
     EXPECT_EQ(Response->Status, 0) << Repeated;
-    EXPECT_EQ(Response->IsTooLarge, Begin != Head) << Repeated;
+    EXPECT_EQ(Response->IsTooLarge, Parts.first != Head) << Repeated;
     EXPECT_LT(Response->ReceivedBytes, size_t{10} << 20) << Repeated;
   }
 }
