--- a/src/health_poller.cpp
+++ b/src/health_poller.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::chrono::milliseconds PollPeriod(20);
 
+// Many upstreams are polled at once.
+constexpr size_t MaxHealthBytes = size_t{64} * 1024;
+
 } // namespace
 
 HealthStatus parseHealthStatus(const HttpResult &Result) {
@@ -74,6 +77,7 @@
   Request.To = Admin;
   Request.Target = "/health";
   Request.Timeout = Period;
+  Request.MaxBodyBytes = MaxHealthBytes;
   Http.call(Request, [this, Upstream](const HttpResult &Result) {
     OnHealthResult({Upstream, parseHealthStatus(Result)});
   });
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -21,17 +21,9 @@
 
 namespace {
 
-// Larger than any response of the store that lists keys. A call with a larger
-// response fails.
-constexpr ev_ssize_t MaxBodyBytes = ev_ssize_t{8} * 1024 * 1024;
-constexpr ev_ssize_t MaxHeaderBytes = ev_ssize_t{64} * 1024;
+constexpr size_t MaxHeaderBytes = size_t{64} * 1024;
 
-// The library limits neither trailers nor what separates the chunks of a body.
-constexpr size_t MaxResponseBytes =
-    static_cast<size_t>(MaxBodyBytes + 2 * MaxHeaderBytes);
-
-// Turns of the loop in which a response of MaxBodyBytes is read, with a
-// reserve.
+// Turns of the loop in which the largest response is read, with a reserve.
 constexpr uint32_t MaxTurnsToRead = 1024;
 
 // libevent ends a connection whose timeout has passed before it reads what
@@ -88,6 +80,7 @@
     bool IsFinished = false;
     bool IsTooLarge = false;
     size_t ReceivedBytes = 0;
+    size_t MaxBodyBytes = 0;
   };
 
   explicit Impl(EventLoop &Loop) : Loop(Loop) {}
@@ -111,7 +104,9 @@
   static void onInput(evbuffer *, const evbuffer_cb_info *Info, void *Context) {
     auto &Call = *static_cast<PendingCall *>(Context);
     Call.ReceivedBytes += Info->n_added;
-    if (Call.ReceivedBytes <= MaxResponseBytes)
+    // The library limits neither trailers nor what separates the chunks of a
+    // body.
+    if (Call.ReceivedBytes <= Call.MaxBodyBytes + 2 * MaxHeaderBytes)
       return;
     HttpResult Result;
     Result.IsTooLarge = true;
@@ -146,7 +141,8 @@
   evbuffer_add_cb(
       bufferevent_get_input(evhttp_connection_get_bufferevent(Call.Connection)),
       onInput, &Call);
-  evhttp_connection_set_max_body_size(Call.Connection, MaxBodyBytes);
+  evhttp_connection_set_max_body_size(
+      Call.Connection, static_cast<ev_ssize_t>(Call.MaxBodyBytes));
   evhttp_connection_set_max_headers_size(Call.Connection, MaxHeaderBytes);
   evhttp_connection_set_timeout(Call.Connection, LibraryTimeoutSeconds);
   Call.Progress.emplace(evhttp_connection_get_bufferevent(Call.Connection));
@@ -235,6 +231,7 @@
   NewCall.Owner = PImpl.get();
   NewCall.Position = std::prev(PImpl->Calls.end());
   NewCall.OnResult = std::move(OnResult);
+  NewCall.MaxBodyBytes = Call.MaxBodyBytes;
   PImpl->setTimeoutTimer(NewCall, Call.Timeout);
   PImpl->start(NewCall, Call);
 }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -25,6 +25,9 @@
   /// that only \c Timeout applies. What arrived in time counts for both, even
   /// if the process was stalled and reads it later.
   Duration IdleTimeout{};
+  /// The call fails if the body of the response is larger. The default is
+  /// larger than any response of the store that lists keys.
+  size_t MaxBodyBytes = size_t{8} * 1024 * 1024;
 };
 
 struct HttpResult {
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -11,6 +11,7 @@
 
 #include "gen/protocol_types.h"
 #include "http_client.h"
+#include "json_fields.h"
 
 namespace indigopoint {
 
@@ -199,6 +200,7 @@
       !readNumber(Query, "wait_ms", WaitMs) || WaitMs > MaxMilliseconds ||
       !readNumber(Query, "link_mbps", LinkMbps) || LinkMbps > UINT32_MAX ||
       Address == Query.end() || Zone == Query.end() ||
+      Zone->second.size() > MaxNameBytes ||
       !parseEndpoint(Address->second, Out.Sender.Address))
     return std::nullopt;
   Out.Configuration = ConfigVersion(Configuration);
@@ -265,7 +267,7 @@
   for (const wire::LostConfiguration &Known : State.lost)
     Out.Changes.Lost.push_back(fromWire(Known));
   for (wire::PeerEntry &Entry : State.peers)
-    if (isAgeValid(Entry.age))
+    if (isAgeValid(Entry.age) && Entry.zone.size() <= MaxNameBytes)
       Out.Peers.push_back(fromWire(Entry));
   return Out;
 }
--- a/src/settings_reader.cpp
+++ b/src/settings_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <filesystem>
 #include <fstream>
 #include <numeric>
 #include <sstream>
@@ -14,6 +15,8 @@
 
 namespace {
 
+constexpr uintmax_t MaxFileBytes = uintmax_t{1} << 20;
+
 // Returns the Levenshtein distance.
 size_t editDistance(const std::string &A, const std::string &B) {
   std::vector<size_t> Row(B.size() + 1);
@@ -238,6 +241,12 @@
 
 std::vector<SettingsError> readSettingsFile(const std::string &File,
                                             std::string &Text) {
+  std::error_code Error;
+  if (const auto Size = std::filesystem::file_size(File, Error);
+      !Error && Size > MaxFileBytes)
+    return {
+        {File, "", std::to_string(Size) + " bytes",
+         "keep the file within " + std::to_string(MaxFileBytes) + " bytes"}};
   std::ifstream Stream(File, std::ios::binary);
   std::ostringstream Contents;
   Contents << Stream.rdbuf();
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -320,6 +320,20 @@
   EXPECT_EQ(Result.Status, 0);
   EXPECT_TRUE(Result.IsTooLarge);
   EXPECT_FALSE(call("GET", "/missing").IsTooLarge);
+  // A caller may accept less.
+  std::optional<HttpResult> Small;
+  HttpClient Client(Loop);
+  HttpCall Call;
+  Call.To = Server.address();
+  Call.Target = "/status";
+  Call.MaxBodyBytes = 10;
+  Server.route("GET", "/status",
+               [](const HttpRequest &, const HttpServer::Respond &Respond) {
+                 Respond({200, std::string(11, 'x')});
+               });
+  Client.call(Call, [&](HttpResult Answer) { Small = std::move(Answer); });
+  ASSERT_TRUE(runUntil(Loop, [&] { return Small.has_value(); }));
+  EXPECT_TRUE(Small->IsTooLarge);
 }
 
 } // namespace
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -282,27 +282,26 @@
 
 TEST(PeerCodec, MalformedRequestsAreRejected) {
   EXPECT_FALSE(decodePeerRequest({}));
-  EXPECT_FALSE(decodePeerRequest({{"era", "4"},
-                                  {"configuration", "6"},
-                                  {"after", "x"},
-                                  {"wait_ms", "1"},
-                                  {"from", "1.2.3.4:5"},
-                                  {"link_mbps", "10"},
-                                  {"zone", "a"}}));
-  EXPECT_FALSE(decodePeerRequest({{"era", "4"},
-                                  {"configuration", "6"},
-                                  {"after", "1"},
-                                  {"wait_ms", "99999999"},
-                                  {"from", "1.2.3.4:5"},
-                                  {"link_mbps", "10"},
-                                  {"zone", "a"}}));
-  EXPECT_TRUE(decodePeerRequest({{"era", "4"},
-                                 {"configuration", "6"},
-                                 {"after", "1"},
-                                 {"wait_ms", "1"},
-                                 {"from", "1.2.3.4:5"},
-                                 {"link_mbps", "10"},
-                                 {"zone", "a"}}));
+  const std::map<std::string, std::string> Valid = {
+      {"era", "4"},     {"configuration", "6"}, {"after", "1"},
+      {"wait_ms", "1"}, {"from", "1.2.3.4:5"},  {"link_mbps", "10"},
+      {"zone", "a"}};
+  EXPECT_TRUE(decodePeerRequest(Valid));
+  for (const auto &[Name, Value] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"after", "x"},
+           {"wait_ms", "99999999"},
+           // Each known instance is kept with its zone.
+           {"zone", std::string(300, 'z')}}) {
+    auto Odd = Valid;
+    Odd[Name] = Value;
+    EXPECT_FALSE(decodePeerRequest(Odd)) << Name;
+  }
+  for (const auto &[Name, Value] : Valid) {
+    auto Incomplete = Valid;
+    Incomplete.erase(Name);
+    EXPECT_FALSE(decodePeerRequest(Incomplete)) << Name;
+  }
 }
 
 // Guards against a field that is lost in the transfer: without the link speed,
--- a/tests/process_settings_test.cpp
+++ b/tests/process_settings_test.cpp
@@ -1,5 +1,7 @@
 #include "process_settings.h"
 
+#include <fstream>
+
 #include <gtest/gtest.h>
 
 namespace indigopoint {
@@ -79,6 +81,11 @@
 TEST(ProcessSettings, MissingFileIsAnError) {
   ProcessSettings Settings;
   EXPECT_EQ(loadProcessSettings("/nonexistent/s.json", Settings).size(), 1U);
+  const std::string Large = testing::TempDir() + "large-settings.json";
+  std::ofstream(Large) << std::string((1 << 20) + 1, ' ');
+  const auto Errors = loadProcessSettings(Large, Settings);
+  ASSERT_EQ(Errors.size(), 1U);
+  EXPECT_NE(toString(Errors[0]).find("1048577 bytes"), std::string::npos);
 }
 
 } // namespace
