--- a/src/document_reader.cpp
+++ b/src/document_reader.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <charconv>
+#include <cmath>
+#include <cstdlib>
 #include <optional>
 
 #include <rapidjson/error/en.h>
@@ -56,25 +59,25 @@
   // NOLINTBEGIN(readability-identifier-naming)
   bool Null() { return countLines() && Handler.null(); }
   bool Bool(bool Value) { return countLines() && Handler.boolean(Value); }
-  bool Int(int Value) { return Int64(Value); }
-  bool Uint(unsigned Value) { return Uint64(Value); }
-  bool Int64(int64_t Value) {
-    return countLines() && Handler.number_integer(Value);
-  }
-  bool Uint64(uint64_t Value) {
-    return countLines() && Handler.number_unsigned(Value);
-  }
-  bool Double(double Value) {
-    return countLines() && Handler.number_float(Value, "");
-  }
-  bool RawNumber(const char *, rapidjson::SizeType, bool) { return false; }
+  bool RawNumber(const char *, rapidjson::SizeType Size, bool) {
+    countLines();
+    // The parser reads a number on a copy of the stream.
+    const size_t Begin = Stream.Tell();
+    return passNumber(std::string(Text.substr(Begin, Size)));
+  }
+  // Numbers are passed as text.
+  bool Int(int) { return false; }
+  bool Uint(unsigned) { return false; }
+  bool Int64(int64_t) { return false; }
+  bool Uint64(uint64_t) { return false; }
+  bool Double(double) { return false; }
   bool String(const char *Begin, rapidjson::SizeType Size, bool) {
-    std::string Value(Begin, Size);
-    return countLines() && Handler.string(Value);
+    std::string Value = textOf(Begin, Size);
+    return Handler.string(Value);
   }
   bool Key(const char *Begin, rapidjson::SizeType Size, bool) {
-    std::string Value(Begin, Size);
-    return countLines() && Handler.key(Value);
+    std::string Value = textOf(Begin, Size);
+    return Handler.key(Value);
   }
   bool StartObject() { return countLines() && Handler.start_object(SIZE_MAX); }
   bool EndObject(rapidjson::SizeType) { return Handler.end_object(); }
@@ -92,6 +95,37 @@
   }
 
 private:
+  // The parser's own conversion gives wrong values for some numbers beyond the
+  // range of double.
+  bool passNumber(const std::string &Number) {
+    const char *Begin = Number.data();
+    const char *End = Begin + Number.size();
+    uint64_t Unsigned = 0;
+    if (const auto Parsed = std::from_chars(Begin, End, Unsigned);
+        Parsed.ptr == End && Parsed.ec == std::errc())
+      return Handler.number_unsigned(Unsigned);
+    int64_t Signed = 0;
+    if (const auto Parsed = std::from_chars(Begin, End, Signed);
+        Parsed.ptr == End && Parsed.ec == std::errc())
+      return Handler.number_integer(Signed);
+    const double Fraction = std::strtod(Begin, nullptr);
+    if (!std::isfinite(Fraction))
+      throw DocumentError("A number is too large.", Line);
+    return Handler.number_float(Fraction, "");
+  }
+
+  // The parser accepts the second half of a surrogate pair alone, which gives
+  // bytes that are not UTF-8; they begin with 0xED and a byte from 0xA0 on.
+  std::string textOf(const char *Begin, size_t Size) {
+    countLines();
+    std::string Out(Begin, Size);
+    for (size_t At = Out.find('\xED'); At != Out.npos;
+         At = Out.find('\xED', At + 1))
+      if (At + 1 < Out.size() && static_cast<uint8_t>(Out[At + 1]) >= 0xA0)
+        throw DocumentError("A text has half a surrogate pair.", Line);
+    return Out;
+  }
+
   std::string_view Text;
   rapidjson::InsituStringStream &Stream;
   DocumentHandler &Handler;
@@ -107,7 +141,7 @@
               DocumentHandler &Handler, unsigned &Line) {
   constexpr unsigned Flags = rapidjson::kParseInsituFlag |
                              rapidjson::kParseValidateEncodingFlag |
-                             rapidjson::kParseFullPrecisionFlag;
+                             rapidjson::kParseNumbersAsStringsFlag;
   if (Text.starts_with(ByteOrderMark))
     Text.remove_prefix(ByteOrderMark.size());
   std::string Copy(Text);
