--- a/tests/allocation_meter.cpp
+++ b/tests/allocation_meter.cpp
@@ -13,16 +13,31 @@
 
 } // namespace
 
-void *operator new(size_t Size) {
+// All forms are replaced, so that a block is allocated and freed by the same
+// functions under the address sanitizer as well.
+void *operator new(size_t Size, const std::nothrow_t &) noexcept {
   void *Block = std::malloc(Size);
   if (Block == nullptr)
-    throw std::bad_alloc();
+    return nullptr;
   const size_t Total = Allocated += malloc_usable_size(Block);
   if (Total > Peak)
     Peak = Total;
   return Block;
 }
 
+void *operator new(size_t Size) {
+  void *Block = operator new(Size, std::nothrow);
+  if (Block == nullptr)
+    throw std::bad_alloc();
+  return Block;
+}
+
+void *operator new[](size_t Size) { return operator new(Size); }
+
+void *operator new[](size_t Size, const std::nothrow_t &) noexcept {
+  return operator new(Size, std::nothrow);
+}
+
 void operator delete(void *Block) noexcept {
   if (Block == nullptr)
     return;
@@ -31,6 +46,8 @@
 }
 
 void operator delete(void *Block, size_t) noexcept { operator delete(Block); }
+void operator delete[](void *Block) noexcept { operator delete(Block); }
+void operator delete[](void *Block, size_t) noexcept { operator delete(Block); }
 
 namespace indigopoint {
 
